--- a/wrentide/choice.py
+++ b/leadslip/choice.py
@@ -1,4 +1,4 @@
-"""Every decision of wrentide; its types, events and actions are in wrentide/interface.py.
+"""Every decision of leadslip; its types, events and actions are in leadslip/interface.py.
 
 Each gateway runs one Controller as a percent throttle after R-SOCA: every interval it smooths each server's
 load figure, maps it by a straight line to a chance of refusal, smooths that too, and refuses new set-ups by
@@ -9,7 +9,7 @@
 
 import random
 
-from wrentide import interface as face
+from leadslip import interface as face
 
 READY = face.ServerState.READY
 
--- a/wrentide/drill.py
+++ b/leadslip/simhost.py
@@ -1,6 +1,6 @@
 """The adapter: the bench's wire on standard input and output, one controller for each gateway.
 
-Names and units only; every decision is in wrentide/choice.py.
+Names and units only; every decision is in leadslip/choice.py.
 """
 
 from __future__ import annotations
@@ -11,8 +11,8 @@
 from collections.abc import Callable, Iterable
 from typing import TextIO
 
-from wrentide import interface as face
-from wrentide.choice import Controller
+from leadslip import interface as face
+from leadslip.choice import Controller
 
 Fields = dict[str, str]
 
@@ -257,7 +257,7 @@
         self.controller = Controller(settings_of(fields), whole(fields, "salt"))
 
 
-class Drill:
+class SimHost:
     """Reads batches, answers them; holds nothing that two gateways could share but the numbered lists."""
 
     def __init__(self, out: TextIO, err: TextIO) -> None:
@@ -383,18 +383,18 @@
 
 def run(lines: Iterable[str], out: TextIO, err: TextIO) -> int:
     """Answer batches until the input ends; 0, or 2 after a line that makes no sense."""
-    drill = Drill(out, err)
+    host = SimHost(out, err)
     for count, text in enumerate(lines, start=1):
         stripped = text.rstrip("\r\n")
         if not stripped:
             continue
         try:
-            drill.line(stripped)
+            host.line(stripped)
         except MalformedError as fault:
-            err.write(f"wrentide.drill: line {count}: {fault}: {stripped[:200]}\n")
+            err.write(f"leadslip.simhost: line {count}: {fault}: {stripped[:200]}\n")
             return 2
-    if drill.now_ms is not None:
-        err.write("wrentide.drill: the input ended within a batch\n")
+    if host.now_ms is not None:
+        err.write("leadslip.simhost: the input ended within a batch\n")
         return 2
     return 0
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from wrentide import interface as face
-from wrentide.choice import INTERVAL_MS, Controller
+from leadslip import interface as face
+from leadslip.choice import INTERVAL_MS, Controller
 
 URGENT, PLAIN = "urgent", "plain"
 
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -2,9 +2,9 @@
 
 import pytest
 
+from leadslip import interface as face
+from leadslip.choice import FLOOR, INTERVAL_MS, MAJOR_MS, MINOR_MS, SIGMA
 from tests.helpers import URGENT, Gateway, entry, finals, set_ups
-from wrentide import interface as face
-from wrentide.choice import FLOOR, INTERVAL_MS, MAJOR_MS, MINOR_MS, SIGMA
 
 
 def test_both_smoothings_follow_the_straight_line():
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
-CHOICE = ROOT / "wrentide" / "choice.py"
+CHOICE = ROOT / "leadslip" / "choice.py"
 
 
 def test_the_module_stays_small():
@@ -18,7 +18,7 @@
 
 def test_the_module_first_names_its_interface():
     text = ast.get_docstring(ast.parse(CHOICE.read_text()))
-    assert "wrentide/interface.py" in text.splitlines()[0]
+    assert "leadslip/interface.py" in text.splitlines()[0]
 
 
 def test_the_module_reads_no_clock_and_one_generator_only():
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,9 +2,9 @@
 
 import pytest
 
+from leadslip import interface as face
+from leadslip.choice import INTERVAL_MS, Controller
 from tests.helpers import Gateway, entry, finals, set_ups, settings
-from wrentide import interface as face
-from wrentide.choice import INTERVAL_MS, Controller
 
 AWAY = ["timed_out", "cut", "withdrawn"]
 
--- a/tests/test_drill.py
+++ b/tests/test_simhost.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from wrentide import drill
+from leadslip import simhost
 
 CONF = (
     "balancers=3 index=1 services.count=1 services.0.name=plain services.0.gain=1 services.0.aim_ms=1000 "
@@ -32,7 +32,7 @@
 
 def play(text: str) -> tuple[int, str, str]:
     out, err = io.StringIO(), io.StringIO()
-    code = drill.run(io.StringIO(text), out, err)
+    code = simhost.run(io.StringIO(text), out, err)
     return code, out.getvalue(), err.getvalue()
 
 
@@ -129,7 +129,7 @@
     def broken(self, now_ms, event):
         raise RuntimeError("two\nlines")
 
-    monkeypatch.setattr(drill.Controller, "handle", broken)
+    monkeypatch.setattr(simhost.Controller, "handle", broken)
     code, out, err = play(START)
     assert code == 0
     assert "INTERNAL_ERROR what=RuntimeError: two lines" in out
