--- /dev/null
+++ b/leadslip/__main__.py
@@ -0,0 +1,146 @@
+"""One signalling proxy: wiring, signals, exit."""
+
+from __future__ import annotations
+
+import gc
+import signal
+import sys
+import time
+
+from twisted.internet import error as net_error
+from twisted.internet import reactor
+
+from leadslip import config
+from leadslip.checks import Tally
+from leadslip.core import Deadlines, Engine
+from leadslip.net.board import Board
+from leadslip.net.clients import Clients
+from leadslip.net.servers import Servers
+
+DRAIN_MS = 900.0  # new work may still come for so long after SIGTERM
+KILLED_AFTER_MS = 3700.0  # SIGKILL may follow then, or later where the longest deadline is longer
+MARGIN_MS = 200.0  # to be out before it
+TALLY_EVERY_MS = 10_000.0
+
+
+class SystemClock:
+    """Unix milliseconds: the rules, `boot_ms` and all deadlines go by this clock."""
+
+    def now_ms(self) -> float:
+        return time.time() * 1000.0
+
+
+def log(text: str) -> None:
+    """One line for the operators."""
+    print(f"{time.time():.3f} {text}", flush=True)
+
+
+class Node:
+    """The parts of one proxy and their life."""
+
+    def __init__(self, conf: config.Config) -> None:
+        self.conf, self.tally, self.clock = conf, Tally(), SystemClock()
+        self.draining_ms = 0.0
+        self.deadlines = Deadlines(self.clock, reactor)
+        self.servers = Servers(reactor, self.tally, self.clock.now_ms, conf.dial_timeout_ms, self.unknown_end)
+        self.engine = self.servers.engine = Engine(
+            conf.settings,
+            conf.seed,
+            self.clock,
+            self.deadlines,
+            self.servers,
+            self.tally,
+            log,
+            conf.most_held,
+        )
+        self.clients = Clients(self.engine, self.tally, conf.sockets // 2, self.ready)
+        self.board = Board(
+            reactor,
+            self.deadlines,
+            self.tally,
+            conf.board,
+            conf.last_event,
+            self.told,
+            conf.dial_timeout_ms / 1000.0,
+        )
+
+    def start(self) -> None:
+        """Begin to serve; what is known already comes before anything is polled."""
+        for notice in self.conf.notices:
+            self.told(notice)
+        host, port = self.conf.listen
+        reactor.listenTCP(port, self.clients, backlog=512, interface=host)
+        self.board.poll()
+        self.report()
+        gc.collect()
+        gc.freeze()
+        signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(self.drain))
+        log(f"{self.conf.name} serves on {host}:{port}")
+
+    def told(self, notice: config.Notice) -> None:
+        """News of the list: the far side first, so that the engine can send where it has heard of."""
+        self.servers.listed(notice.news, notice.addresses)
+        self.engine.news(notice.news)
+
+    def ready(self) -> bool:
+        """Whether the front may send calls here."""
+        return not self.draining_ms and bool(self.servers.servers)
+
+    def unknown_end(self, call: bytes, cause: int) -> None:
+        """A server ends a call that is not held: it may stand since before a restart of this proxy."""
+        self.tally.add("servers.unknown_ends")
+
+    def report(self, _: object = None) -> None:
+        """Log the counters now and then."""
+        log("counts " + " ".join(f"{name}={count}" for name, count in sorted(self.tally.counts.items())))
+        self.deadlines.at(self.clock.now_ms() + TALLY_EVERY_MS, self.report)
+
+    def drain(self) -> None:
+        """SIGTERM: the front is told at its next test; what comes meanwhile is still served."""
+        if self.draining_ms:
+            return
+        self.draining_ms = self.clock.now_ms()
+        log("draining")
+        self.drained()
+
+    def drained(self, _: object = None) -> None:
+        """Exit once all is settled, or shortly before the kill."""
+        now_ms = self.clock.now_ms()
+        longest_ms = max(kind.deadline_ms for kind in self.conf.settings.classes)
+        last_ms = self.draining_ms + max(longest_ms + 700.0, KILLED_AFTER_MS) - MARGIN_MS
+        held = bool(self.engine.open or self.engine.standing)
+        if now_ms >= last_ms or (now_ms >= self.draining_ms + DRAIN_MS and not held):
+            self.board.stop()
+            self.report()
+            reactor.callLater(0.05, reactor.stop)  # what is written gets out first
+            return
+        self.deadlines.at(now_ms + 50.0, self.drained)
+
+
+def main() -> int:
+    """Run until a SIGTERM has been served; 2 when the configuration makes no sense."""
+    try:
+        conf = config.load()
+    except config.MalformedError as fault:
+        print(f"leadslip: {fault}", file=sys.stderr)
+        return 2
+    node = Node(conf)
+    failed = []
+
+    def start() -> None:
+        try:
+            node.start()
+        except net_error.CannotListenError as fault:
+            failed.append(str(fault))
+            reactor.stop()
+
+    reactor.callWhenRunning(start)
+    reactor.run()
+    if failed:
+        print(f"leadslip: listen: {failed[0]}", file=sys.stderr)
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/leadslip/config.py
@@ -0,0 +1,332 @@
+"""The one place where configuration is read, checked and given defaults; errors name the faulty key."""
+
+from __future__ import annotations
+
+import ipaddress
+import json
+import math
+import os
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from leadslip import interface as face
+
+Fields = dict[str, str]
+Address = tuple[str, int]
+
+REPEATS = {"retryable": face.Repeat.FREE, "dedup": face.Repeat.DEDUPED, "fragile": face.Repeat.ONCE}
+REPORTED = {
+    "idle": "free_lines",
+    "circuits": "lines",
+    "active": "active",
+    "waiting": "queue",
+    "cpu": "utilisation",
+    "avg_ms": "wait_ms",
+    "max_rate": "set_ups_per_s",
+    "reduce": "hold_back",
+    # The names on the sockets.
+    "x0": "free_lines",
+    "x1": "lines",
+    "inflight": "active",
+    "queue": "queue",
+    "util": "utilisation",
+    "latency_ms": "wait_ms",
+    "qps": "set_ups_per_s",
+    "eps": "hold_back",
+}
+
+
+class MalformedError(Exception):
+    """A value that is missing or makes no sense; the text names its key."""
+
+
+def number(fields: Fields, key: str, default: float | None = None) -> float:
+    """The number under a key; without a default the key must be there."""
+    text = fields.get(key)
+    if text is None:
+        if default is None:
+            raise MalformedError(f"{key} is missing")
+        return default
+    try:
+        value = float(text)
+    except ValueError:
+        value = math.nan
+    if not math.isfinite(value):
+        raise MalformedError(f"{key} is no number: {text}")
+    return value
+
+
+def whole(fields: Fields, key: str, default: int | None = None) -> int:
+    """The whole number under a key."""
+    value = number(fields, key, default)
+    if value != int(value):
+        raise MalformedError(f"{key} is no whole number: {fields[key]}")
+    return int(fields[key]) if fields.get(key, "").lstrip("-").isdigit() else int(value)
+
+
+def word(fields: Fields, key: str) -> str:
+    """The text under a key, which must be there."""
+    if not fields.get(key):
+        raise MalformedError(f"{key} is missing")
+    return fields[key]
+
+
+def flag(fields: Fields, key: str, default: bool = False) -> bool:
+    """The truth under a key: 1, 0, true or false."""
+    text = fields.get(key)
+    if text is None:
+        return default
+    if text not in ("0", "1", "true", "false"):
+        raise MalformedError(f"{key} is neither 1 nor 0: {text}")
+    return text in ("1", "true")
+
+
+def known(table: dict, value: object, key: str) -> object:
+    """The meaning of a code word."""
+    if value not in table:
+        raise MalformedError(f"{key} is unknown: {value}")
+    return table[value]
+
+
+def settings_of(conf: Fields) -> face.Settings:
+    """The start message's settings in the library's words."""
+    classes = []
+    for i in range(whole(conf, "services.count")):
+        at = f"services.{i}."
+        pools = conf.get(f"extra.allowed_pools.{i}")
+        classes.append(
+            face.CallClass(
+                name=word(conf, at + "name"),
+                worth=number(conf, at + "gain"),
+                late_worth=number(conf, at + "late_worth", 0.0),
+                aim_ms=number(conf, at + "aim_ms"),
+                deadline_ms=number(conf, at + "deadline_ms"),
+                repeat=known(REPEATS, conf.get(at + "idempotency", "retryable"), at + "idempotency"),
+                allowed_pools=None if pools is None else tuple(pool_numbers(pools, i)),
+            )
+        )
+    tenants = tuple(
+        face.Tenant(word(conf, f"customers.{i}.name"), number(conf, f"customers.{i}.quota_rps"))
+        for i in range(whole(conf, "customers.count", 0))
+    )
+    return face.Settings(
+        gateways=whole(conf, "balancers"),
+        index=whole(conf, "index"),
+        classes=tuple(classes),
+        tenants=tenants,
+        over_share_worth=number(conf, "over_share_worth", 1.0),
+        max_attempts=whole(conf, "limits.most_tries"),
+        may_withdraw=flag(conf, "limits.cancel"),
+        may_probe=flag(conf, "limits.may_probe"),
+        may_tell_peers=flag(conf, "limits.peers"),
+        callers_obey_pause=flag(conf, "limits.retry_after"),
+        max_pause_ms=number(conf, "limits.max_retry_after_ms", 0.0),
+        drain_grace_ms=number(conf, "obligations.stop_sending_within_ms", 0.0),
+        cold_fraction=number(conf, "obligations.cold_from"),
+        warm_after_ms=number(conf, "obligations.warm_after_ms"),
+        push_multiple=number(conf, "obligations.tip_multiple"),
+        push_window_ms=number(conf, "obligations.tip_after_ms"),
+        release_wait_ms=number(conf, "extra.guard_ms", 0.0),
+        resend_ms=number(conf, "extra.resend_ms", 0.0),
+        tick_ms=number(conf, "tick_ms", 1.0),
+        list_on_request=conf.get("membership_mode") == "on_request",
+        own_number=whole(conf, "extra.here", -1),
+    )
+
+
+def pool_numbers(text: str, i: int) -> Iterable[int]:
+    """The pools that class i may go to."""
+    for part in text.split(","):
+        if part:
+            yield whole({f"extra.allowed_pools.{i}": part}, f"extra.allowed_pools.{i}")
+
+
+def load_of(text: str | None, names: list[str]) -> face.Load | None:
+    """A load report; figures of -1 are untold, figures of unknown names are skipped."""
+    if not text:
+        return None
+    told = {}
+    for name, part in zip(names, text.split(","), strict=False):
+        value = number({"stats": part}, "stats")
+        if name in REPORTED and value >= 0:
+            told[REPORTED[name]] = value
+    return face.Load(**told)
+
+
+def load_named(text: str) -> face.Load:
+    """A load report on the sockets, such as x0:12;x1:40: figures of -1 are untold, unknown names skipped."""
+    told = {}
+    for part in text.split(";"):
+        name, _, value = part.partition(":")
+        if name in REPORTED:
+            figure = number({name: value}, name)
+            if figure >= 0:
+                told[REPORTED[name]] = figure
+    return face.Load(**told)
+
+
+# The files of a real signalling proxy, and what the notice board sends in the same form.
+
+STATES = {
+    "active": face.ServerState.READY,
+    "leaving": face.ServerState.DRAINING,
+    "left": face.ServerState.GONE,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Notice:
+    """One event of the notice board: list news, and where each server listens."""
+
+    rev: int
+    news: face.ListNews
+    addresses: dict[str, Address]
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """All that a signalling proxy is told at its start."""
+
+    name: str
+    listen: Address
+    seed: int
+    sockets: int
+    board: Address
+    last_event: int
+    notices: tuple[Notice, ...]
+    settings: face.Settings
+    dial_timeout_ms: float
+    most_held: int
+
+
+def flatten(value: object, path: str = "") -> Fields:
+    """Nested JSON settings as the simulator's start message has them: path=value pairs, all text."""
+    if isinstance(value, Mapping):
+        pairs: Fields = {}
+        for key, inner in value.items():
+            pairs |= flatten(inner, f"{path}.{key}" if path else str(key))
+        return pairs
+    if isinstance(value, list):
+        if any(isinstance(item, Mapping | list) for item in value):
+            pairs = {f"{path}.count": str(len(value))}
+            for i, item in enumerate(value):
+                pairs |= flatten(item, f"{path}.{i}")
+            return pairs
+        return {path: ",".join(_plain(item) for item in value)}
+    return {} if value is None else {path: _plain(value)}
+
+
+def _plain(value: object) -> str:
+    return str(value).lower() if isinstance(value, bool) else str(value)
+
+
+def member(where: Mapping, key: str, kind: type | tuple[type, ...], path: str = "") -> object:
+    """A member of a JSON object, which must be there and of the kind."""
+    name = f"{path}.{key}" if path else key
+    if key not in where:
+        raise MalformedError(f"{name} is missing")
+    value = where[key]
+    if not isinstance(value, kind) or (isinstance(value, bool) and kind is not bool):
+        raise MalformedError(f"{name} makes no sense: {json.dumps(value)[:80]}")
+    return value
+
+
+def address_of(text: object, key: str) -> Address:
+    """An IP address and a port; names are not resolved, since there may be no DNS."""
+    host, _, port = str(text).rpartition(":")
+    try:
+        host = str(ipaddress.ip_address(host.strip("[]")))
+    except ValueError:
+        host = ""
+    if not host or not (port.isascii() and port.isdigit() and int(port) < 65536):
+        raise MalformedError(f"{key} is no address:port: {str(text)[:80]}")
+    return host, int(port)
+
+
+def notice_of(event: object, path: str) -> Notice:
+    """One event of the notice board; `boot_ms` is Unix time, as is the clock of the core."""
+    if not isinstance(event, Mapping):
+        raise MalformedError(f"{path} is no object")
+    rev = int(member(event, "rev", int, path))
+    pool = member(event, "pool", Mapping, path)
+    entries, addresses = [], {}
+    for i, target in enumerate(member(pool, "targets", list, f"{path}.pool")):
+        at = f"{path}.pool.targets.{i}"
+        if not isinstance(target, Mapping):
+            raise MalformedError(f"{at} is no object")
+        uid = str(member(target, "uid", str, at))
+        state = known(STATES, member(target, "state", str, at), f"{at}.state")
+        addresses[uid] = address_of(member(target, "endpoint", str, at), f"{at}.endpoint")
+        number_ = target.get("pod_group", -1)
+        since = target.get("boot_ms", 0)
+        fields = {"pod_group": str(number_), "boot_ms": str(since)}
+        entries.append(face.ListEntry(uid, whole(fields, "pod_group"), state, number(fields, "boot_ms")))
+    kind = face.NewsKind.WHOLE if pool.get("all") is True else face.NewsKind.CHANGES
+    return Notice(rev, face.ListNews(kind, tuple(entries)), addresses)
+
+
+def config_of(told: object) -> Config:
+    """The checked configuration of a signalling proxy."""
+    if not isinstance(told, Mapping):
+        raise MalformedError("the configuration is no object")
+    flat = flatten(member(told, "settings", Mapping))
+    flat.setdefault("services.count", "0")
+    try:
+        settings = settings_of(flat)
+        if whole(flat, "services.count") < 1:
+            raise MalformedError("services is empty")
+        dial_timeout_ms = number(flat, "limits.dial_timeout_ms", 500.0)
+        most_held = whole(flat, "limits.most_held", 20_000)
+    except MalformedError as fault:
+        raise MalformedError(f"settings.{fault}") from fault
+    told_first = member(told, "known", Mapping)
+    notices = [
+        notice_of(event, f"known.notices.{i}")
+        for i, event in enumerate(member(told_first, "notices", list, "known"))
+    ]
+    try:
+        seed = int(str(member(told, "seed", (str, int))), 16)
+    except ValueError as fault:
+        raise MalformedError("seed is no hex number") from fault
+    limits = told.get("limits", {})
+    if not isinstance(limits, Mapping):
+        raise MalformedError("limits is no object")
+    sockets = limits.get("sockets", 1024)
+    if not isinstance(sockets, int) or sockets < 16:
+        raise MalformedError(f"limits.sockets makes no sense: {sockets!r}")
+    if dial_timeout_ms <= 0:
+        raise MalformedError("settings.limits.dial_timeout_ms makes no sense")
+    return Config(
+        name=str(told.get("name", "")),
+        listen=address_of(member(told, "listen", str), "listen"),
+        seed=seed,
+        sockets=sockets,
+        board=address_of(member(told, "board", str), "board"),
+        last_event=int(member(told_first, "rev", int, "known")),
+        notices=tuple(notices),
+        settings=settings,
+        dial_timeout_ms=dial_timeout_ms,
+        most_held=most_held,
+    )
+
+
+def read_json(path: str, key: str) -> object:
+    """The JSON in a file; the key says where the path came from."""
+    try:
+        with open(path, encoding="utf-8") as file:
+            return json.load(file)
+    except (OSError, ValueError) as fault:
+        raise MalformedError(f"{key} can't be read: {fault}") from fault
+
+
+def load(environ: Mapping[str, str] = os.environ) -> Config:
+    """The configuration that the environment names; NODE_NAME and NODE_LISTEN fill gaps in the file."""
+    path = environ.get("NODE_CONFIG")
+    if not path:
+        raise MalformedError("NODE_CONFIG is missing")
+    told = read_json(path, "NODE_CONFIG")
+    if isinstance(told, dict):
+        for key, variable in (("name", "NODE_NAME"), ("listen", "NODE_LISTEN")):
+            if variable in environ:
+                told.setdefault(key, environ[variable])
+    return config_of(told)
--- /dev/null
+++ b/leadslip/core.py
@@ -0,0 +1,479 @@
+"""The wire-free engine: requests, attempts, outcomes and timers, driven by the Controller's decisions.
+
+A front offers requests and gets exactly one final answer for each; the far side carries attempts out and
+tells their outcomes. The engine keeps the rules whatever the Controller or a peer does: one final answer, one
+attempt out, deadlines, the wait after a release, drains. All times are Unix milliseconds of one clock.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections import deque
+from collections.abc import Callable
+from enum import Enum
+from typing import Protocol
+
+from leadslip import interface as face
+from leadslip.checks import Tally
+from leadslip.choice import Controller
+
+AWAY = (face.Outcome.TIMED_OUT, face.Outcome.CUT, face.Outcome.WITHDRAWN)
+COMPACT_FROM = 1024  # dead deadlines from which on the heap is swept
+
+
+class Clock(Protocol):
+    """Tells Unix milliseconds."""
+
+    def now_ms(self) -> float: ...
+
+
+class Wake(Protocol):
+    """A call to come that can be moved."""
+
+    def active(self) -> bool: ...
+
+    def reset(self, seconds: float) -> None: ...
+
+
+class Scheduler(Protocol):
+    """Calls back once after some seconds."""
+
+    def callLater(self, seconds: float, work: Callable[[], None]) -> Wake: ...  # noqa: N802
+
+
+class Deadline:
+    """One entry of the heap; cancelled by forgetting its work."""
+
+    __slots__ = ("due_ms", "order", "work", "of")
+
+    def __init__(self, due_ms: float, order: int, work: Callable | None, of: object) -> None:
+        self.due_ms, self.order, self.work, self.of = due_ms, order, work, of
+
+    def __lt__(self, other: Deadline) -> bool:
+        return (self.due_ms, self.order) < (other.due_ms, other.order)
+
+
+class Deadlines:
+    """One heap of deadlines behind one timer, so that a request costs no timer of its own."""
+
+    def __init__(self, clock: Clock, scheduler: Scheduler) -> None:
+        self.clock, self.scheduler = clock, scheduler
+        self.heap: list[Deadline] = []
+        self.count = self.dead = 0
+        self.wake: Wake | None = None
+        self.wake_ms = 0.0
+
+    def at(self, due_ms: float, work: Callable, of: object = None) -> Deadline:
+        """Call work(of) at that time."""
+        self.count += 1
+        entry = Deadline(due_ms, self.count, work, of)
+        heapq.heappush(self.heap, entry)
+        if self.heap[0] is entry:
+            self._arm()
+        return entry
+
+    def cancel(self, entry: Deadline | None) -> None:
+        """Forget a deadline; the heap is swept when most of it is dead."""
+        if entry is None or entry.work is None:
+            return
+        entry.work = entry.of = None
+        self.dead += 1
+        if self.dead > COMPACT_FROM and self.dead * 2 > len(self.heap):
+            self.heap = [held for held in self.heap if held.work is not None]
+            heapq.heapify(self.heap)
+            self.dead = 0
+
+    def _arm(self) -> None:
+        if not self.heap:
+            return
+        due_ms = self.heap[0].due_ms
+        active = self.wake is not None and self.wake.active()
+        if active and self.wake_ms <= due_ms:
+            return
+        self.wake_ms = due_ms
+        seconds = max(0.0, (due_ms - self.clock.now_ms()) / 1000.0)
+        if active:
+            self.wake.reset(seconds)
+        else:
+            self.wake = self.scheduler.callLater(seconds, self._ring)
+
+    def _ring(self) -> None:
+        self.wake = None
+        now_ms = self.clock.now_ms()
+        try:
+            while self.heap and self.heap[0].due_ms <= now_ms:
+                entry = heapq.heappop(self.heap)
+                work, of = entry.work, entry.of
+                if work is None:
+                    self.dead -= 1
+                    continue
+                entry.work = entry.of = None
+                work(of)
+        finally:
+            self._arm()
+
+
+class State(Enum):
+    """How far a request has come."""
+
+    OPEN = "open"  # owed a final answer
+    STANDING = "standing"  # answered; the call goes on
+    OVER = "over"
+
+
+class Request:
+    """One request of a front: owed one final answer until it is over."""
+
+    __slots__ = (
+        "id",
+        "call_class",
+        "number",
+        "valid_until_ms",
+        "destination",
+        "lines",
+        "redialled",
+        "cut_before",
+        "front",
+        "payload",
+        "context",
+        "state",
+        "attempt",
+        "tries",
+        "away_until_ms",
+        "guard",
+        "taken_ms",
+    )
+
+    def __init__(
+        self, id_: str, call_class: str, valid_until_ms: float, front: Front, payload: bytes = b""
+    ) -> None:
+        self.id, self.call_class, self.valid_until_ms = id_, call_class, valid_until_ms
+        self.number, self.destination, self.lines = "", -1, 1.0
+        self.redialled = self.cut_before = False
+        self.front, self.payload = front, payload
+        self.context: object = None  # what the front keeps with it
+        self.state = State.OPEN
+        self.attempt: Attempt | None = None  # out, or carrying the standing call
+        self.tries = 0
+        self.away_until_ms = 0.0  # nothing may be sent before: what the last attempt held may stay taken
+        self.guard: Deadline | None = None
+        self.taken_ms = 0.0
+
+
+class Attempt:
+    """One set-up of a request at one server."""
+
+    __slots__ = ("request", "server", "index", "sent_ms", "cut_at_ms", "deadline", "out", "stands")
+
+    def __init__(self, request: Request, server: str, index: int, sent_ms: float, cut_at_ms: float) -> None:
+        self.request, self.server, self.index = request, server, index
+        self.sent_ms, self.cut_at_ms = sent_ms, cut_at_ms
+        self.deadline: Deadline | None = None
+        self.out, self.stands = True, False
+
+
+class Front(Protocol):
+    """Where a request came from: it passes the one final answer on, and the end of what stands."""
+
+    def stands(self, request: Request, payload: object) -> None: ...
+
+    def refused(self, request: Request, pause_ms: float) -> None: ...
+
+    def failed(self, request: Request) -> None: ...
+
+    def over(self, request: Request, cut: bool) -> None: ...
+
+
+class FarSide(Protocol):
+    """Carries attempts to servers; tells what became of them by Engine.stood and Engine.ended."""
+
+    def send(self, attempt: Attempt) -> face.Outcome | None:
+        """Send a set-up; an outcome tells at once that it never left."""
+
+    def give_up(self, attempt: Attempt) -> None: ...
+
+    def release(self, attempt: Attempt) -> None: ...
+
+
+class Watcher(Protocol):
+    """Told of what has ended, for traces and metrics."""
+
+    def attempt_ended(self, attempt: Attempt, outcome: face.Outcome, now_ms: float) -> None: ...
+
+    def request_answered(self, request: Request, answer: str, now_ms: float) -> None: ...
+
+
+class Engine:
+    """Holds the requests of one proxy and keeps the rules for each."""
+
+    def __init__(
+        self,
+        settings: face.Settings,
+        seed: int,
+        clock: Clock,
+        deadlines: Deadlines,
+        far_side: FarSide,
+        tally: Tally,
+        log: Callable[[str], None],
+        most_held: int = 20_000,
+        watcher: Watcher | None = None,
+    ) -> None:
+        self.settings, self.clock, self.deadlines = settings, clock, deadlines
+        self.controller = Controller(settings, seed)
+        self.far_side, self.tally, self.log, self.most_held = far_side, tally, log, most_held
+        self.watcher = watcher
+        self.open: dict[str, Request] = {}
+        self.standing: dict[str, Request] = {}
+        self.states: dict[str, face.ServerState] = {}
+        self.told_ms: dict[str, float] = {}  # when a server was told to drain or be gone
+        self.events: deque[face.Event] = deque()
+        self.feeding = False
+
+    # What the list says.
+
+    def news(self, news: face.ListNews) -> None:
+        """Take news of the server list; what drains is remembered for the drain rule."""
+        if news.kind is not face.NewsKind.CHANGES:
+            listed = {entry.server for entry in news.entries}
+            for server in self.states.keys() - listed:
+                self._state(server, face.ServerState.GONE)
+        for entry in news.entries:
+            self._state(entry.server, entry.state)
+        self._feed(news)
+
+    def _state(self, server: str, state: face.ServerState) -> None:
+        if state is face.ServerState.READY:
+            self.told_ms.pop(server, None)
+        elif self.states.get(server) in (face.ServerState.READY, None):
+            self.told_ms[server] = self.clock.now_ms()
+        self.states[server] = state
+
+    # What fronts say.
+
+    def offer(self, request: Request) -> None:
+        """Take a request; it gets its one final answer through its front."""
+        now_ms = request.taken_ms = self.clock.now_ms()
+        self.tally.add("requests")
+        if request.id in self.open or request.id in self.standing:
+            # An id must not come twice; the second asker still gets an answer, the first keeps its call.
+            self.tally.add("requests.doubled")
+            request.state = State.OVER
+            request.front.failed(request)
+            return
+        self.open[request.id] = request
+        if len(self.open) > self.most_held:
+            self.tally.add("requests.over_most_held")
+            self._refuse(request, 0.0)
+            return
+        # Guards against a Controller that holds a call for ever: rule 1 does not hang on any decision.
+        request.guard = self.deadlines.at(
+            max(now_ms, request.valid_until_ms - self.settings.tick_ms), self._overdue, request
+        )
+        self._feed(
+            face.CallOffered(
+                request.id,
+                request.call_class,
+                request.valid_until_ms,
+                request.destination,
+                request.lines,
+                request.number,
+                cut_before=request.cut_before,
+                redialled=request.redialled,
+            )
+        )
+
+    def cancel(self, request: Request) -> None:
+        """The caller has left; nothing is owed any more, and what is out is given up at its server."""
+        if request.state is not State.OPEN:
+            return  # the answer and the caller's leaving have crossed
+        self._close(request)
+        self.tally.add("requests.cancelled")
+        self._watch(request, "cancelled")
+        self._feed(face.CallerLeft(request.id))
+        if request.attempt is not None:
+            self.ended(request.attempt, face.Outcome.WITHDRAWN)
+
+    def hang_up(self, request: Request) -> None:
+        """The caller ends a standing call."""
+        if request.state is not State.STANDING:
+            return
+        attempt = request.attempt
+        if attempt is not None and attempt.out:
+            self.far_side.release(attempt)
+            self._finish(attempt, face.Outcome.SERVED, tell=False)
+
+    # What the far side says.
+
+    def stood(self, attempt: Attempt, payload: object) -> None:
+        """An attempt's answer came: it reaches the asker on its own, unless the request is over."""
+        request = attempt.request
+        if not attempt.out or attempt.stands or request.state is not State.OPEN:
+            return
+        self.deadlines.cancel(attempt.deadline)
+        attempt.stands = True
+        self._close(request)
+        request.state = State.STANDING
+        self.standing[request.id] = request
+        self.tally.add("answers.stands")
+        now_ms = self.clock.now_ms()
+        self._watch(request, "stands")
+        request.front.stands(request, payload)
+        self._feed(face.CallStands(request.id, attempt.server, attempt.index, now_ms - attempt.sent_ms))
+
+    def ended(
+        self,
+        attempt: Attempt,
+        outcome: face.Outcome,
+        cause: face.Cause = face.Cause.NONE,
+        load: face.Load | None = None,
+    ) -> None:
+        """An attempt, or the standing call that came of it, has ended."""
+        if not attempt.out:
+            return  # a report that crossed our own end of it
+        if outcome is face.Outcome.WITHDRAWN or outcome is face.Outcome.TIMED_OUT:
+            # The server may still work on it: it is told, so that what the call holds comes free.
+            self.far_side.give_up(attempt)
+        self._finish(attempt, outcome, cause, load)
+
+    def looked(self, server: str, load: face.Load) -> None:
+        """Unasked news of a server's lines."""
+        self._feed(face.ServerLooked(server, face.Outcome.SERVED, 0.0, load))
+
+    def sent_to(self, server: str) -> bool:
+        """Whether set-ups may still leave for a server; asked again by what had to wait for a connection."""
+        told_ms = self.told_ms.get(server)
+        if server not in self.states:
+            return False
+        return told_ms is None or self.clock.now_ms() < told_ms + self.settings.drain_grace_ms
+
+    # Within.
+
+    def _finish(
+        self,
+        attempt: Attempt,
+        outcome: face.Outcome,
+        cause: face.Cause = face.Cause.NONE,
+        load: face.Load | None = None,
+        tell: bool = True,
+    ) -> None:
+        request, now_ms = attempt.request, self.clock.now_ms()
+        attempt.out = False
+        self.deadlines.cancel(attempt.deadline)
+        request.attempt = None
+        if outcome in AWAY:
+            request.away_until_ms = now_ms + self.settings.release_wait_ms
+        self.tally.add("attempts." + outcome.value)
+        if self.watcher is not None:
+            self.watcher.attempt_ended(attempt, outcome, now_ms)
+        if request.state is State.STANDING:
+            request.state = State.OVER
+            self.standing.pop(request.id, None)
+            if tell:
+                request.front.over(request, outcome is not face.Outcome.SERVED)
+        self._feed(
+            face.AttemptEnded(
+                request.id,
+                attempt.server,
+                attempt.index,
+                outcome,
+                now_ms - attempt.sent_ms,
+                request.state is State.OVER,
+                cause,
+                0.0,
+                load,
+            )
+        )
+
+    def _feed(self, event: face.Event) -> None:
+        """Hand events to the Controller in order; what its actions cause waits until they are done."""
+        self.events.append(event)
+        if self.feeding:
+            return
+        self.feeding = True
+        try:
+            while self.events:
+                for action in self.controller.handle(self.clock.now_ms(), self.events.popleft()):
+                    self._act(action)
+        finally:
+            self.feeding = False
+
+    def _act(self, action: face.Action) -> None:
+        match action:
+            case face.SetUp(call, server, cut_at_ms):
+                self._send(call, server, cut_at_ms)
+            case face.Refuse(call, pause_ms):
+                request = self.open.get(call)
+                if self.tally.must(request is not None, "one final answer"):
+                    self._refuse(request, pause_ms)
+            case face.Fail(call):
+                request = self.open.get(call)
+                if self.tally.must(request is not None, "one final answer"):
+                    self._fail(request)
+            case face.Withdraw(call, attempt):
+                request = self.open.get(call)
+                if request is not None and request.attempt and request.attempt.index == attempt:
+                    self.ended(request.attempt, face.Outcome.WITHDRAWN)
+            case face.SetTimer(after_ms, token):
+                self.deadlines.at(self.clock.now_ms() + after_ms, self._timer, token)
+            case face.Log(text):
+                self.log(text)
+            case _:
+                # The list is pushed here; probes and peers are not to be had.
+                self.tally.add("actions.unsupported")
+
+    def _timer(self, token: str) -> None:
+        self._feed(face.TimerDue(token))
+
+    def _send(self, call: str, server: str, cut_at_ms: float) -> None:
+        request, now_ms, must = self.open.get(call), self.clock.now_ms(), self.tally.must
+        if not must(request is not None, "a set-up is for an open request"):
+            return
+        if not must(request.attempt is None, "one attempt out"):
+            return
+        cut_at_ms = min(cut_at_ms or request.valid_until_ms, request.valid_until_ms)
+        attempt = Attempt(request, server, request.tries, now_ms, cut_at_ms)
+        request.attempt = attempt
+        request.tries += 1
+        legal = must(request.tries <= self.settings.max_attempts, "most attempts")
+        legal = must(now_ms >= request.away_until_ms, "release wait") and legal
+        legal = must(self.sent_to(server), "nothing new after a drain") and legal
+        outcome = self.far_side.send(attempt) if legal and now_ms < cut_at_ms else face.Outcome.NOT_SENT
+        if outcome is not None:
+            self._finish(attempt, outcome)
+        elif attempt.out:
+            attempt.deadline = self.deadlines.at(cut_at_ms, self._timed_out, attempt)
+
+    def _timed_out(self, attempt: Attempt) -> None:
+        self.ended(attempt, face.Outcome.TIMED_OUT)
+
+    def _overdue(self, request: Request) -> None:
+        if request.state is not State.OPEN:
+            return
+        self.tally.add("requests.overdue")
+        self._fail(request)
+        self._feed(face.CallerLeft(request.id))
+        if request.attempt is not None:
+            self.ended(request.attempt, face.Outcome.TIMED_OUT)
+
+    def _close(self, request: Request) -> None:
+        """Nothing more is owed."""
+        self.tally.must(request.state is State.OPEN, "one final answer")
+        request.state = State.OVER
+        self.deadlines.cancel(request.guard)
+        self.open.pop(request.id, None)
+
+    def _refuse(self, request: Request, pause_ms: float) -> None:
+        self._close(request)
+        self.tally.add("answers.refused")
+        self._watch(request, "refused")
+        request.front.refused(request, min(max(pause_ms, 0.0), self.settings.max_pause_ms))
+
+    def _fail(self, request: Request) -> None:
+        self._close(request)
+        self.tally.add("answers.failed")
+        self._watch(request, "failed")
+        request.front.failed(request)
+
+    def _watch(self, request: Request, answer: str) -> None:
+        if self.watcher is not None:
+            self.watcher.request_answered(request, answer, self.clock.now_ms())
--- /dev/null
+++ b/leadslip/net/clients.py
@@ -0,0 +1,249 @@
+"""Clients: SIP over TCP. A thin front that turns messages into requests, and answers into messages."""
+
+from __future__ import annotations
+
+import re
+from collections import OrderedDict
+from collections.abc import Callable
+
+from twisted.internet import protocol
+
+from leadslip.checks import Tally
+from leadslip.core import Engine, Request, State
+from leadslip.net.links import HeadReceiver, MessageError
+
+HEADER = re.compile(rb"([!-9;-~]+)[ \t]*:[ \t]*([^\r\n]*)\r\n")
+START = re.compile(
+    rb"(?:([A-Z]+) sip:([^\s@>]*)(?:@[^\s]*)? SIP/2\.0|SIP/2\.0 ([1-6][0-9][0-9])(?: [^\r\n]*)?)\r\n"
+)
+CALL_ID = re.compile(rb"[0-9a-fA-F]{16}")
+LENGTH = re.compile(rb"\r\n(?:Content-Length|l)[ \t]*:[ \t]*([0-9]{1,9})[ \t]*\r\n", re.IGNORECASE)
+ECHOED = (b"via", b"from", b"to", b"call-id", b"cseq")
+BYE_FOR_MS = 8000.0  # for so long the end of a call is offered to connections that open
+CAUSE_NORMAL, CAUSE_CUT = 16, 41
+
+
+class CallerLink(HeadReceiver):
+    """One connection from callers; it owns the set-ups that came on it, and no standing call."""
+
+    peer_kind = "clients"
+
+    def __init__(self, front: Clients) -> None:
+        self.front, self.tally, self.now_ms = front, front.tally, front.engine.clock.now_ms
+        self.set_ups: dict[str, Request] = {}
+
+    def connectionMade(self) -> None:
+        super().connectionMade()
+        self.front.opened(self)
+
+    def connectionLost(self, reason: object = None) -> None:
+        self.front.closed(self)
+
+    def body_length(self, head: memoryview) -> int:
+        found = LENGTH.search(head)
+        return int(found.group(1)) if found else 0
+
+    def messageReceived(self, head: memoryview, body: memoryview) -> None:
+        start = START.match(head)
+        if start is None:
+            raise MessageError("start line")
+        headers: dict[bytes, bytes] = {}
+        at, size = start.end(), len(head)
+        while at < size:
+            found = HEADER.match(head, at)
+            if found is None:
+                raise MessageError("header")
+            headers.setdefault(found.group(1).lower(), found.group(2).strip())
+            at = found.end()
+        method, number, status = start.groups()
+        if status is not None:
+            self.answered(headers)
+            return
+        act = METHODS.get(method)
+        if act is not None:
+            act(self, number, headers, body)
+        else:
+            self.reply(b"501 Not Implemented", headers)
+
+    def answered(self, headers: dict[bytes, bytes]) -> None:
+        """An answer to one of our releases."""
+        if headers.get(b"cseq", b"").endswith(b"BYE"):
+            self.front.heard(call_id(headers))
+
+    def invite(self, number: bytes, headers: dict[bytes, bytes], body: memoryview) -> None:
+        front, now_ms = self.front, self.now_ms()
+        expires_ms = decimal(headers.get(b"expires-ms"), "Expires-Ms")
+        # Expires-Ms is a span from the sending of the set-up; rules go by Unix time: converted here only.
+        request = Request(
+            call_id(headers),
+            headers.get(b"priority-class", b"").decode("ascii", "replace"),
+            now_ms + expires_ms,
+            front,
+            bytes(body),  # kept for further attempts, so it outlives the buffer
+        )
+        request.number = number.decode("ascii", "replace")
+        for part in headers.get(b"p-trunk-info", b"").split(b";"):
+            name, _, value = part.partition(b":")
+            if name == b"dest":
+                request.destination = int(signed(value, "dest"))
+            elif name == b"width":
+                request.lines = signed(value, "width")
+            elif name == b"again":
+                request.cut_before = value == b"1"
+        request.redialled = headers.get(b"p-repeat") == b"1"
+        request.context = (self, echo(headers))
+        if request.id in self.set_ups:
+            return  # the same set-up sent again while it is open
+        self.set_ups[request.id] = request
+        front.engine.offer(request)
+
+    def cancel(self, number: bytes, headers: dict[bytes, bytes], body: memoryview) -> None:
+        self.reply(b"200 OK", headers)
+        request = self.front.engine.open.get(call_id(headers))
+        if request is not None:
+            self.front.cancelled(request)
+
+    def bye(self, number: bytes, headers: dict[bytes, bytes], body: memoryview) -> None:
+        request = self.front.engine.standing.get(call_id(headers))
+        # A call of which nothing is held may have crossed our own release: it is over either way.
+        self.reply(b"200 OK", headers)
+        if request is not None:
+            self.front.engine.hang_up(request)
+
+    def options(self, number: bytes, headers: dict[bytes, bytes], body: memoryview) -> None:
+        self.reply(b"200 OK" if self.front.ready() else b"503 Service Unavailable", headers)
+
+    def ack(self, number: bytes, headers: dict[bytes, bytes], body: memoryview) -> None:
+        """Means nothing on TCP: an answer arrives whole or the connection ends."""
+
+    def reply(self, status: bytes, headers: dict[bytes, bytes]) -> None:
+        self.say(b"SIP/2.0 ", status, b"\r\n", echo(headers), b"Content-Length: 0\r\n\r\n")
+
+
+METHODS = {
+    b"INVITE": CallerLink.invite,
+    b"ACK": CallerLink.ack,
+    b"CANCEL": CallerLink.cancel,
+    b"BYE": CallerLink.bye,
+    b"OPTIONS": CallerLink.options,
+}
+
+
+def call_id(headers: dict[bytes, bytes]) -> str:
+    """The call's id: 16 hex digits."""
+    value = headers.get(b"call-id", b"")
+    if not CALL_ID.fullmatch(value):
+        raise MessageError("Call-ID")
+    return value.decode("ascii").lower()
+
+
+def decimal(value: bytes | None, key: str) -> float:
+    """A whole number that is not negative."""
+    if value is None or not value.isdigit() or len(value) > 12:
+        raise MessageError(key)
+    return float(value)
+
+
+def signed(value: bytes, key: str) -> float:
+    """A decimal number."""
+    if not re.fullmatch(rb"-?[0-9]{1,9}(\.[0-9]{1,9})?", value):
+        raise MessageError(key)
+    return float(value)
+
+
+def echo(headers: dict[bytes, bytes]) -> bytes:
+    """The headers that an answer repeats."""
+    return b"".join(b"%s: %s\r\n" % (NAMES[name], headers[name]) for name in ECHOED if name in headers)
+
+
+NAMES = {b"via": b"Via", b"from": b"From", b"to": b"To", b"call-id": b"Call-ID", b"cseq": b"CSeq"}
+
+
+class Clients(protocol.Factory):
+    """The front for callers: all their connections, and the releases that wait to be heard."""
+
+    noisy = False
+
+    def __init__(self, engine: Engine, tally: Tally, most_links: int, ready: Callable[[], bool]) -> None:
+        self.engine, self.tally, self.most_links, self.ready = engine, tally, most_links, ready
+        self.links: OrderedDict[CallerLink, None] = OrderedDict()
+        self.byes: OrderedDict[str, tuple[float, CallerLink | None, bytes]] = OrderedDict()
+
+    def buildProtocol(self, addr: object) -> CallerLink | None:
+        if len(self.links) >= self.most_links:
+            self.tally.add("clients.over_limit")
+            return None
+        return CallerLink(self)
+
+    def opened(self, link: CallerLink) -> None:
+        self.links[link] = None
+        for id_, (ended_ms, on, _) in list(self.byes.items()):
+            if on is None:
+                self._release(id_, ended_ms, link)
+
+    def closed(self, link: CallerLink) -> None:
+        """A connection has gone: its set-ups are given up, its unheard releases go elsewhere."""
+        self.links.pop(link, None)
+        for request in list(link.set_ups.values()):
+            self.cancelled(request)
+        self._prune()
+        for id_, (ended_ms, on, _) in list(self.byes.items()):
+            if on is link:
+                self._release(id_, ended_ms, next(reversed(self.links), None))
+
+    def cancelled(self, request: Request) -> None:
+        request.context[0].set_ups.pop(request.id, None)
+        self.engine.cancel(request)
+
+    # What the engine says.
+
+    def stands(self, request: Request, payload: object) -> None:
+        size = b"Content-Length: %d\r\n\r\n" % len(payload)
+        self._answer(request, b"SIP/2.0 200 OK\r\n", size, payload)
+
+    def refused(self, request: Request, pause_ms: float) -> None:
+        pause = b"P-Back-Off: %d\r\n" % int(pause_ms) if pause_ms >= 1 else b""
+        self._answer(request, b"SIP/2.0 503 Service Unavailable\r\n", pause, b"Content-Length: 0\r\n\r\n")
+
+    def failed(self, request: Request) -> None:
+        self._answer(request, b"SIP/2.0 500 Server Internal Error\r\n", b"Content-Length: 0\r\n\r\n")
+
+    def over(self, request: Request, cut: bool) -> None:
+        """A standing call is over: release it on its own connection, or on any other that is open."""
+        link = request.context[0]
+        self.release(request.id, cut, link if link in self.links else None)
+
+    def release(self, id_: str, cut: bool, link: CallerLink | None = None) -> None:
+        """Tell callers that a call is over."""
+        message = (
+            b"BYE sip:caller@net SIP/2.0\r\nVia: SIP/2.0/TCP proxy\r\nCall-ID: %s\r\nCSeq: 2 BYE\r\n"
+            b"Reason: Q.850;cause=%d\r\nContent-Length: 0\r\n\r\n"
+            % (id_.encode("ascii"), CAUSE_CUT if cut else CAUSE_NORMAL)
+        )
+        now_ms = self.engine.clock.now_ms()
+        self._prune()
+        self.byes[id_] = (now_ms, None, message)
+        self._release(id_, now_ms, link or next(reversed(self.links), None))
+
+    def heard(self, id_: str) -> None:
+        self.byes.pop(id_, None)
+
+    def _release(self, id_: str, ended_ms: float, link: CallerLink | None) -> None:
+        message = self.byes[id_][2]
+        sent = link is not None and link.say(message)
+        self.byes[id_] = (ended_ms, link if sent else None, message)
+
+    def _prune(self) -> None:
+        """Releases that nobody need hear any more are forgotten, oldest first."""
+        oldest_ms = self.engine.clock.now_ms() - BYE_FOR_MS
+        while self.byes and next(iter(self.byes.values()))[0] < oldest_ms:
+            self.byes.popitem(last=False)
+
+    def _answer(self, request: Request, start: bytes, *rest: bytes | memoryview) -> None:
+        link, echoed = request.context
+        if link.set_ups.get(request.id) is request:
+            del link.set_ups[request.id]
+        if link in self.links:
+            link.say(start, echoed, *rest)
+        elif request.state is State.STANDING:
+            self.tally.add("clients.answer_lost")
--- /dev/null
+++ b/leadslip/net/links.py
@@ -0,0 +1,127 @@
+"""What all connections share: framing by slices of the buffer read into, and bounds on stalled peers.
+
+Twisted's own receivers copy what is left of the buffer for every line; these keep their classes and callbacks
+but hand out memoryview slices, and copy only the unfinished tail of a read.
+"""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Callable
+
+from twisted.internet import interfaces
+from twisted.protocols.basic import Int16StringReceiver, LineReceiver
+from zope.interface import implementer
+
+from leadslip.checks import Tally
+
+MAX_MESSAGE = 16 * 1024  # bytes of one message; the protocol's cap
+STALLED_MS = 2000.0  # for so long a peer may leave what we wrote unread
+
+
+class MessageError(Exception):
+    """A message that the protocol does not allow."""
+
+
+@implementer(interfaces.IPushProducer)
+class Link:
+    """One connection: counts a malformed message and closes itself alone; notices a peer that won't read."""
+
+    tally: Tally
+    peer_kind = "peer"
+    now_ms: Callable[[], float]
+    stalled_ms = 0.0  # since when the peer has left our bytes unread; 0: it has not
+
+    def connectionMade(self) -> None:
+        self.transport.setTcpNoDelay(True)
+        self.transport.registerProducer(self, True)
+        self.tally.add(f"{self.peer_kind}.connections")
+
+    def pauseProducing(self) -> None:
+        self.stalled_ms = self.now_ms()
+
+    def resumeProducing(self) -> None:
+        self.stalled_ms = 0.0
+
+    def stopProducing(self) -> None:
+        """The transport is closing; connectionLost follows."""
+
+    def say(self, *parts: bytes | memoryview) -> bool:
+        """Write one message; a peer that has not read for long is cut off, so that buffers stay bounded."""
+        if self.stalled_ms and self.now_ms() - self.stalled_ms > STALLED_MS:
+            self.tally.add(f"{self.peer_kind}.stalled")
+            self.transport.abortConnection()
+            return False
+        self.transport.write(b"".join(parts))
+        return True
+
+    def malformed(self, fault: MessageError) -> None:
+        self.tally.add(f"{self.peer_kind}.malformed")
+        self.transport.abortConnection()
+
+
+class HeadReceiver(Link, LineReceiver):
+    """Text messages: a head that ends with an empty line, and a body of the length that the head tells."""
+
+    delimiter = b"\r\n\r\n"
+    MAX_LENGTH = MAX_MESSAGE
+
+    def dataReceived(self, data: bytes) -> None:
+        if self._buffer:
+            data = self._buffer + data
+        view, at, size = memoryview(data), 0, len(data)
+        try:
+            while at < size and not self.transport.disconnecting:
+                if data.startswith(b"\r\n", at):
+                    at += 2  # an empty line between messages keeps a connection alive
+                    continue
+                end = data.find(b"\r\n\r\n", at)
+                if end < 0:
+                    if size - at > MAX_MESSAGE:
+                        raise MessageError("too long")
+                    break
+                body_at = end + 4
+                length = self.body_length(view[at : end + 2])
+                if body_at + length - at > MAX_MESSAGE:
+                    raise MessageError("too long")
+                if body_at + length > size:
+                    break
+                self.messageReceived(view[at : end + 2], view[body_at : body_at + length])
+                at = body_at + length
+        except MessageError as fault:
+            self._buffer = b""
+            self.malformed(fault)
+            return
+        self._buffer = data[at:] if at < size else b""
+
+    def body_length(self, head: memoryview) -> int:
+        raise NotImplementedError
+
+    def messageReceived(self, head: memoryview, body: memoryview) -> None:
+        raise NotImplementedError
+
+
+class SliceReceiver(Link, Int16StringReceiver):
+    """Binary messages behind a length of two bytes."""
+
+    MAX_LENGTH = MAX_MESSAGE
+    _unprocessed = b""
+
+    def dataReceived(self, data: bytes) -> None:
+        if self._unprocessed:
+            data = self._unprocessed + data
+        view, at, size = memoryview(data), 0, len(data)
+        try:
+            while size - at >= 2 and not self.transport.disconnecting:
+                (length,) = struct.unpack_from("!H", data, at)
+                if length + 2 > MAX_MESSAGE:
+                    raise MessageError("too long")
+                if size - at - 2 < length:
+                    break
+                self.stringReceived(view[at + 2 : at + 2 + length])
+                at += 2 + length
+        except MessageError as fault:
+            self._unprocessed = b""
+            self.malformed(fault)
+            return
+        self._unprocessed = data[at:] if at < size else b""
--- a/leadslip/simhost.py
+++ b/leadslip/simhost.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import math
 import sys
 import traceback
 from collections.abc import Callable, Iterable
@@ -13,10 +12,18 @@
 
 from leadslip import interface as face
 from leadslip.choice import Controller
+from leadslip.config import (
+    Fields,
+    MalformedError,
+    flag,
+    known,
+    load_of,
+    number,
+    settings_of,
+    whole,
+    word,
+)
 
-Fields = dict[str, str]
-
-REPEATS = {"retryable": face.Repeat.FREE, "dedup": face.Repeat.DEDUPED, "fragile": face.Repeat.ONCE}
 NEWS = {
     0: face.NewsKind.FAILED,
     1: face.NewsKind.CACHED,
@@ -40,136 +47,9 @@
     3: face.Cause.PROCESSOR_FULL,
     4: face.Cause.NUMBER_BUSY,
 }
-REPORTED = {
-    "idle": "free_lines",
-    "circuits": "lines",
-    "active": "active",
-    "waiting": "queue",
-    "cpu": "utilisation",
-    "avg_ms": "wait_ms",
-    "max_rate": "set_ups_per_s",
-    "reduce": "hold_back",
-}
 BUFFERS = 16
 
 
-class MalformedError(Exception):
-    """A line that the wire page does not allow."""
-
-
-def number(fields: Fields, key: str, default: float | None = None) -> float:
-    """The number under a key; without a default the key must be there."""
-    text = fields.get(key)
-    if text is None:
-        if default is None:
-            raise MalformedError(f"{key} is missing")
-        return default
-    try:
-        value = float(text)
-    except ValueError:
-        value = math.nan
-    if not math.isfinite(value):
-        raise MalformedError(f"{key} is no number: {text}")
-    return value
-
-
-def whole(fields: Fields, key: str, default: int | None = None) -> int:
-    """The whole number under a key."""
-    value = number(fields, key, default)
-    if value != int(value):
-        raise MalformedError(f"{key} is no whole number: {fields[key]}")
-    return int(fields[key]) if fields.get(key, "").lstrip("-").isdigit() else int(value)
-
-
-def word(fields: Fields, key: str) -> str:
-    """The text under a key, which must be there."""
-    if not fields.get(key):
-        raise MalformedError(f"{key} is missing")
-    return fields[key]
-
-
-def flag(fields: Fields, key: str, default: bool = False) -> bool:
-    """The truth under a key: 1, 0, true or false."""
-    text = fields.get(key)
-    if text is None:
-        return default
-    if text not in ("0", "1", "true", "false"):
-        raise MalformedError(f"{key} is neither 1 nor 0: {text}")
-    return text in ("1", "true")
-
-
-def known(table: dict, value: object, key: str) -> object:
-    """The meaning of a code word."""
-    if value not in table:
-        raise MalformedError(f"{key} is unknown: {value}")
-    return table[value]
-
-
-def settings_of(conf: Fields) -> face.Settings:
-    """The start message's settings in the library's words."""
-    classes = []
-    for i in range(whole(conf, "services.count")):
-        at = f"services.{i}."
-        pools = conf.get(f"extra.allowed_pools.{i}")
-        classes.append(
-            face.CallClass(
-                name=word(conf, at + "name"),
-                worth=number(conf, at + "gain"),
-                late_worth=number(conf, at + "late_worth", 0.0),
-                aim_ms=number(conf, at + "aim_ms"),
-                deadline_ms=number(conf, at + "deadline_ms"),
-                repeat=known(REPEATS, conf.get(at + "idempotency", "retryable"), at + "idempotency"),
-                allowed_pools=None if pools is None else tuple(pool_numbers(pools, i)),
-            )
-        )
-    tenants = tuple(
-        face.Tenant(word(conf, f"customers.{i}.name"), number(conf, f"customers.{i}.quota_rps"))
-        for i in range(whole(conf, "customers.count", 0))
-    )
-    return face.Settings(
-        gateways=whole(conf, "balancers"),
-        index=whole(conf, "index"),
-        classes=tuple(classes),
-        tenants=tenants,
-        over_share_worth=number(conf, "over_share_worth", 1.0),
-        max_attempts=whole(conf, "limits.most_tries"),
-        may_withdraw=flag(conf, "limits.cancel"),
-        may_probe=flag(conf, "limits.may_probe"),
-        may_tell_peers=flag(conf, "limits.peers"),
-        callers_obey_pause=flag(conf, "limits.retry_after"),
-        max_pause_ms=number(conf, "limits.max_retry_after_ms", 0.0),
-        drain_grace_ms=number(conf, "obligations.stop_sending_within_ms", 0.0),
-        cold_fraction=number(conf, "obligations.cold_from"),
-        warm_after_ms=number(conf, "obligations.warm_after_ms"),
-        push_multiple=number(conf, "obligations.tip_multiple"),
-        push_window_ms=number(conf, "obligations.tip_after_ms"),
-        release_wait_ms=number(conf, "extra.guard_ms", 0.0),
-        resend_ms=number(conf, "extra.resend_ms", 0.0),
-        tick_ms=number(conf, "tick_ms", 1.0),
-        list_on_request=conf.get("membership_mode") == "on_request",
-        own_number=whole(conf, "extra.here", -1),
-    )
-
-
-def pool_numbers(text: str, i: int) -> Iterable[int]:
-    """The pools that class i may go to."""
-    for part in text.split(","):
-        if part:
-            yield whole({f"extra.allowed_pools.{i}": part}, f"extra.allowed_pools.{i}")
-
-
-def load_of(text: str | None, names: list[str]) -> face.Load | None:
-    """A load report; figures of -1 are untold, figures of unknown names are skipped."""
-    if not text:
-        return None
-    told = {}
-    for name, part in zip(names, text.split(","), strict=False):
-        value = number({"stats": part}, "stats")
-        if name in REPORTED and value >= 0:
-            told[REPORTED[name]] = value
-    return face.Load(**told)
-
-
 def entry_of(fields: Fields) -> face.ListEntry:
     """One line of the server list."""
     return face.ListEntry(
