--- a/leadslip/choice.py
+++ b/leadslip/choice.py
@@ -34,6 +34,9 @@
 RATE_KNOWN_CALLS = 10  # calls after which it limits what is sent; ours, few calls tell no rate
 UTILISED = (0.85, 1.0)  # minor and major for reported utilisation; ours, where queues begin and end
 QUEUED = (8.0, 32.0)  # minor and major for reported queues, in set-ups; ours, same ratio as the delays
+KEPT_MS = (
+    20.0  # ms of all gateways' calm rate, in lines, kept for the calls worth most; ours, age of a report
+)
 WINDOW_MS = 400.0  # ms of the calm rate that may be unanswered; ours, midway on the curve
 URGENT = 3.0  # a class worth this many times the least is urgent; ours, well above mere preference
 TRIAL_PART = 0.2  # part of the calls that may be a trial at a busy number; ours, few
@@ -59,7 +62,7 @@
         self.unanswered: dict[str, float] = {}  # call -> when sent, oldest first
         self.overtaken_ms = 0.0  # when the latest set-up that stood was sent; refusals may jump the line
         self.jammed = False  # as last logged
-        self.free_lines: float | None = None
+        self.free_lines: float | None = None  # as last told, less what was sent since
 
 
 class _Call:
@@ -84,6 +87,7 @@
         self.random = random.Random(seed)
         self.classes = {kind.name: kind for kind in settings.classes}
         self.least_worth = min((kind.worth for kind in settings.classes if kind.worth > 0), default=1.0)
+        self.most_worth = max((kind.worth for kind in settings.classes), default=1.0)
         self.servers: dict[str, _Server] = {}
         self.calls: dict[str, _Call] = {}
         self.listed = False  # a list has been seen
@@ -283,6 +287,8 @@
         call.attempts += 1
         server.unanswered[call.offered.call] = now_ms
         server.credit, server.credit_at_ms = self._credit(now_ms, server) - 1.0, now_ms
+        if server.free_lines is not None:
+            server.free_lines -= call.offered.lines
         self.actions.append(face.SetUp(call.offered.call, server.entry.server, cut_ms))
 
     def _usable(self, now_ms: float, call: _Call, server: _Server) -> bool:
@@ -293,11 +299,21 @@
             return False
         if offered.in_transit and number != offered.destination:
             return False
-        if server.free_lines is not None and server.free_lines < offered.lines:
+        if server.free_lines is not None and server.free_lines < offered.lines + self._kept(call, server):
             return False
         spared = self._spared(now_ms, call, server) or self._credit(now_ms, server) > call.luck
         return spared and self._within_window(now_ms, call, server)
 
+    def _kept(self, call: _Call, server: _Server) -> float:
+        """Lines kept free for calls worth more than this one: trunk reservation.
+
+        Guards against lines going to whoever asks first where lines, not the processor, run short. They are
+        told as late as a report, so what all gateways send meanwhile is kept. A redial counts as late.
+        """
+        worth = call.kind.worth * (call.kind.late_worth if call.offered.redialled else 1.0)
+        lines = self._calm_rate(server) * self.settings.gateways * KEPT_MS
+        return lines * (1.0 - worth / max(self.most_worth, 1e-9))
+
     def _urgent(self, call: _Call) -> bool:
         return call.kind.worth >= URGENT * self.least_worth
 
@@ -417,6 +433,10 @@
         """What the end of an attempt tells of its server."""
         server.unanswered.pop(event.call, None)
         outcome, load = event.outcome, event.load
+        if load is not None and load.free_lines is not None:
+            # Every report tells the lines as they were when it left. Guards against taking a server for full
+            # until the next unasked news, while lines come free there all the time.
+            server.free_lines = load.free_lines
         server.missed = server.missed or outcome is face.Outcome.TIMED_OUT
         if outcome in (face.Outcome.ERROR, face.Outcome.FULL):
             self._hear(now_ms, server, event.taken_ms, load)
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -3,7 +3,7 @@
 import pytest
 
 from leadslip import interface as face
-from leadslip.choice import FLOOR, INTERVAL_MS, MAJOR_MS, MINOR_MS, SIGMA
+from leadslip.choice import FLOOR, INTERVAL_MS, KEPT_MS, MAJOR_MS, MINOR_MS, SIGMA
 from tests.helpers import URGENT, Gateway, entry, finals, set_ups
 
 
@@ -334,3 +334,29 @@
     gateway.call()
     gateway.wait(1400.0)
     assert server.chance > FLOOR  # two are
+
+
+def test_the_report_of_an_ended_call_tells_of_lines_that_came_free():
+    # Only refusals and unasked news were heard: a full server then stayed full for half a second.
+    gateway = Gateway(servers=1)
+    (sent,) = set_ups(gateway.call())
+    gateway.stands(sent, 30.0)
+    (late,) = set_ups(gateway.call())
+    none_free = face.Load(free_lines=0.0, lines=9.0)
+    gateway.ends(late, "full", cause=face.Cause.NO_LINE, load=none_free)
+    assert not set_ups(gateway.call())
+    gateway.ends(sent, "served", call_over=True, load=face.Load(free_lines=1.0, lines=9.0))
+    assert set_ups(gateway.call(kind=URGENT))
+
+
+def test_lines_are_kept_for_the_calls_worth_most_and_own_set_ups_are_counted():
+    gateway = Gateway(servers=1)
+    gateway.serve(20.0, per_s=50.0)
+    rate = gateway.controller._calm_rate(gateway.controller.servers["s0"])
+    kept = rate * 4 * KEPT_MS * (1.0 - 1.0 / 6.0)
+    free = 1.0 + kept
+    gateway.give(face.ServerLooked("s0", face.Outcome.SERVED, 0.0, face.Load(free_lines=free)))
+    assert kept > 0.5
+    assert set_ups(gateway.call()), "one line beyond those kept"
+    assert not set_ups(gateway.call()), "the next would take one that is kept"
+    assert set_ups(gateway.call(kind=URGENT)), "which is there for urgent calls"
