Add the ENUM front: NAPTR look-ups through resolvers on the same core

Off unless deploy/enum.toml turns it on. Tests start the program against stand-in resolvers that are silent, truncate, lie, fail, break off and die. Found by them: at SIGTERM the program never ended, since board.py called abortConnection on the proxy that twisted.web gives a body as its transport, which has none; the same call would have broken the reconnection after a silent board. It closes by loseConnection now. Errors that Twisted catches are shown, as this one was not.

--- a/leadslip/__main__.py
+++ b/leadslip/__main__.py
@@ -7,12 +7,14 @@
 import sys
 import time
 
+from twisted import logger
 from twisted.internet import error as net_error
 from twisted.internet import reactor
 
 from leadslip import config
 from leadslip.checks import Tally
 from leadslip.core import Deadlines, Engine
+from leadslip.net import enum
 from leadslip.net.board import Board
 from leadslip.net.clients import Clients
 from leadslip.net.servers import Servers
@@ -30,6 +32,13 @@
         return time.time() * 1000.0
 
 
+def show_errors() -> None:
+    """Let what Twisted catches be read; else an error in a callback would pass unseen."""
+    loud = logger.LogLevelFilterPredicate(defaultLogLevel=logger.LogLevel.error)
+    observer = logger.FilteringLogObserver(logger.textFileLogObserver(sys.stderr), [loud])
+    logger.globalLogBeginner.beginLoggingTo([observer], redirectStandardIO=False, discardBuffer=True)
+
+
 def log(text: str) -> None:
     """One line for the operators."""
     print(f"{time.time():.3f} {text}", flush=True)
@@ -38,7 +47,8 @@
 class Node:
     """The parts of one proxy and their life."""
 
-    def __init__(self, conf: config.Config) -> None:
+    def __init__(self, conf: config.Config, enum_conf: config.EnumConfig | None) -> None:
+        self.enum_conf = enum_conf
         self.conf, self.tally, self.clock = conf, Tally(), SystemClock()
         self.draining_ms = 0.0
         self.deadlines = Deadlines(self.clock, reactor)
@@ -53,6 +63,7 @@
             log,
             conf.most_held,
         )
+        self.engines = [self.engine]
         self.clients = Clients(self.engine, self.tally, conf.sockets // 2, self.ready)
         self.board = Board(
             reactor,
@@ -69,8 +80,12 @@
         for notice in self.conf.notices:
             self.told(notice)
         host, port = self.conf.listen
-        reactor.listenTCP(port, self.clients, backlog=512, interface=host)
+        port = reactor.listenTCP(port, self.clients, backlog=512, interface=host).getHost().port
         self.board.poll()
+        if self.enum_conf is not None:
+            self.engines.append(
+                enum.start(reactor, self.enum_conf, self.conf.seed, self.deadlines, self.tally, log)
+            )
         self.report()
         gc.collect()
         gc.freeze()
@@ -108,7 +123,7 @@
         now_ms = self.clock.now_ms()
         longest_ms = max(kind.deadline_ms for kind in self.conf.settings.classes)
         last_ms = self.draining_ms + max(longest_ms + 700.0, KILLED_AFTER_MS) - MARGIN_MS
-        held = bool(self.engine.open or self.engine.standing)
+        held = any(engine.open or engine.standing for engine in self.engines)
         if now_ms >= last_ms or (now_ms >= self.draining_ms + DRAIN_MS and not held):
             self.board.stop()
             self.report()
@@ -120,11 +135,12 @@
 def main() -> int:
     """Run until a SIGTERM has been served; 2 when the configuration makes no sense."""
     try:
-        conf = config.load()
+        conf, enum_conf = config.load(), config.load_enum()
     except config.MalformedError as fault:
         print(f"leadslip: {fault}", file=sys.stderr)
         return 2
-    node = Node(conf)
+    show_errors()
+    node = Node(conf, enum_conf)
     failed = []
 
     def start() -> None:
--- a/leadslip/config.py
+++ b/leadslip/config.py
@@ -6,6 +6,7 @@
 import json
 import math
 import os
+import tomllib
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
@@ -199,6 +200,20 @@
     most_held: int
 
 
+@dataclass(frozen=True, slots=True)
+class EnumConfig:
+    """The second front, for ENUM look-ups over DNS."""
+
+    listen: Address
+    resolvers: tuple[Address, ...]
+    suffix: str
+    answer_within_ms: float
+    attempt_ms: float
+    most_held: int
+    most_connections: int
+    settings: face.Settings
+
+
 def flatten(value: object, path: str = "") -> Fields:
     """Nested JSON settings as the simulator's start message has them: path=value pairs, all text."""
     if isinstance(value, Mapping):
@@ -310,6 +325,78 @@
     )
 
 
+ENUM_KEYS = {  # key -> (default, least, most)
+    "answer_within_ms": (1500.0, 50.0, 60_000.0),
+    "attempt_ms": (400.0, 10.0, 60_000.0),
+    "most_attempts": (3, 1, 16),
+    "most_held": (2000, 1, 100_000),
+    "most_connections": (64, 1, 10_000),
+}
+
+
+def enum_of(told: Mapping) -> EnumConfig | None:
+    """The checked configuration of the ENUM front; None where it is not turned on."""
+    for key in told:
+        if key not in ("enabled", "listen", "resolvers", "suffix", *ENUM_KEYS):
+            raise MalformedError(f"enum.{key} is unknown")
+    enabled = told.get("enabled", False)
+    if not isinstance(enabled, bool):
+        raise MalformedError(f"enum.enabled is neither true nor false: {enabled!r}")
+    if not enabled:
+        return None
+    figures = {}
+    for key, (default, least, most) in ENUM_KEYS.items():
+        value = told.get(key, default)
+        kinds = int if isinstance(default, int) else (int, float)
+        if isinstance(value, bool) or not isinstance(value, kinds) or not least <= value <= most:
+            raise MalformedError(f"enum.{key} must lie between {least} and {most}: {value!r}")
+        figures[key] = value
+    listed = member(told, "resolvers", list, "enum")
+    if not listed:
+        raise MalformedError("enum.resolvers is empty")
+    resolvers = tuple(address_of(text, f"enum.resolvers.{i}") for i, text in enumerate(listed))
+    if len(set(resolvers)) < len(resolvers):
+        raise MalformedError("enum.resolvers names one twice")
+    suffix = str(told.get("suffix", "e164.arpa")).strip(".").lower()
+    if not suffix or not all(0 < len(label) < 64 for label in suffix.split(".")):
+        raise MalformedError(f"enum.suffix is no domain: {suffix!r}")
+    wait_ms = figures["answer_within_ms"]
+    lookup = face.CallClass("enum", worth=1.0, late_worth=0.0, aim_ms=wait_ms, deadline_ms=wait_ms)
+    settings = face.Settings(
+        gateways=1,
+        index=0,
+        classes=(lookup,),
+        max_attempts=figures["most_attempts"],
+        may_withdraw=True,
+        tick_ms=5.0,
+    )
+    return EnumConfig(
+        listen=address_of(member(told, "listen", str, "enum"), "enum.listen"),
+        resolvers=resolvers,
+        suffix=suffix,
+        answer_within_ms=wait_ms,
+        attempt_ms=figures["attempt_ms"],
+        most_held=figures["most_held"],
+        most_connections=figures["most_connections"],
+        settings=settings,
+    )
+
+
+ENUM_FILE = "deploy/enum.toml"
+
+
+def load_enum(environ: Mapping[str, str] = os.environ) -> EnumConfig | None:
+    """The ENUM front's file: LEADSLIP_ENUM, or the one under deploy/; off where there is none."""
+    path = environ.get("LEADSLIP_ENUM")
+    if path is None and not os.path.exists(ENUM_FILE):
+        return None
+    try:
+        with open(path or ENUM_FILE, "rb") as file:
+            return enum_of(tomllib.load(file))
+    except (OSError, ValueError) as fault:
+        raise MalformedError(f"{'LEADSLIP_ENUM' if path else ENUM_FILE} can't be read: {fault}") from fault
+
+
 def read_json(path: str, key: str) -> object:
     """The JSON in a file; the key says where the path came from."""
     try:
--- a/leadslip/core.py
+++ b/leadslip/core.py
@@ -217,11 +217,15 @@
         log: Callable[[str], None],
         most_held: int = 20_000,
         watcher: Watcher | None = None,
+        attempt_ms: float | None = None,
     ) -> None:
         self.settings, self.clock, self.deadlines = settings, clock, deadlines
         self.controller = Controller(settings, seed)
         self.far_side, self.tally, self.log, self.most_held = far_side, tally, log, most_held
         self.watcher = watcher
+        self.attempt_ms = (
+            attempt_ms  # the longest attempt, where a peer's silence must leave time for another
+        )
         self.open: dict[str, Request] = {}
         self.standing: dict[str, Request] = {}
         self.states: dict[str, face.ServerState] = {}
@@ -431,6 +435,8 @@
         if not must(request.attempt is None, "one attempt out"):
             return
         cut_at_ms = min(cut_at_ms or request.valid_until_ms, request.valid_until_ms)
+        if self.attempt_ms is not None:
+            cut_at_ms = min(cut_at_ms, now_ms + self.attempt_ms)
         attempt = Attempt(request, server, request.tries, now_ms, cut_at_ms)
         request.attempt = attempt
         request.tries += 1
--- a/leadslip/net/board.py
+++ b/leadslip/net/board.py
@@ -40,7 +40,7 @@
         elif not line.rstrip(b"\r") and self.data:
             data, self.data = self.data, b""
             if not self.board.take(self.id, data):
-                self.transport.abortConnection()
+                self.transport.loseConnection()
 
     def connectionLost(self, reason: object = None) -> None:
         self.board.ended(self)
@@ -133,6 +133,7 @@
 
     def _drop(self) -> None:
         if self.events is not None:
-            self.events.transport.abortConnection()
+            # The body's transport is a proxy that knows no abortConnection.
+            self.events.transport.loseConnection()
         elif self.asking is not None:
             self.asking.cancel()
--- /dev/null
+++ b/tests/standins.py
@@ -0,0 +1,343 @@
+"""Stand-ins on loopback for what the program talks to: setup servers, the notice board, resolvers."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import struct
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+from twisted.names import dns
+
+ROOT = Path(__file__).parent.parent
+HOST = f"127.77.{os.getpid() >> 8 & 255}.{os.getpid() & 255}"  # its ports are this test run's own
+PATIENCE_S = 20.0  # ends a test that hangs; nothing is timed by it
+
+
+def settings(**changes: object) -> dict:
+    """Settings as a proxy is told them."""
+    service = {"gain": 1.0, "late_worth": 0.2, "aim_ms": 1500.0, "deadline_ms": 3000.0}
+    told = {
+        "balancers": 2,
+        "index": 0,
+        "services": [{"name": "plain"} | service, {"name": "urgent"} | service | {"gain": 3.0}],
+        "limits": {"most_tries": 4, "cancel": True, "retry_after": True, "max_retry_after_ms": 2000.0},
+        "obligations": {
+            "cold_from": 0.3,
+            "warm_after_ms": 9000.0,
+            "tip_multiple": 2.5,
+            "tip_after_ms": 1500.0,
+        },
+        "extra": {"guard_ms": 100.0, "allowed_pools": [[0, 1], [0, 1]]},
+        "tick_ms": 5.0,
+        "load_report": {"fields": ["idle", "circuits"]},
+    }
+    return told | changes
+
+
+def notice(rev: int, *targets: tuple[str, str, str], whole: bool = False) -> dict:
+    """One event of the notice board: (uid, address, state) for each server."""
+    listed = [
+        {"uid": uid, "endpoint": at, "az": "x", "pod_group": i, "state": state, "boot_ms": 0}
+        for i, (uid, at, state) in enumerate(targets)
+    ]
+    return {"rev": rev, "pool": {"rev": rev, "all": whole, "targets": listed}}
+
+
+class Listener:
+    """Accepts TCP connections and serves each in a thread of its own."""
+
+    def __init__(self, port: int = 0) -> None:
+        self.socket = socket.create_server((HOST, port))
+        self.port = self.socket.getsockname()[1]
+        self.address = f"{HOST}:{self.port}"
+        self.links: list[socket.socket] = []
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                link, _ = self.socket.accept()
+            except OSError:
+                return
+            self.links.append(link)
+            threading.Thread(target=self._serve, args=(link,), daemon=True).start()
+
+    def _serve(self, link: socket.socket) -> None:
+        try:
+            self.serve(link)
+        except OSError:
+            pass
+        finally:
+            link.close()
+
+    def serve(self, link: socket.socket) -> None:
+        raise NotImplementedError
+
+    def die(self) -> None:
+        """Stop listening, and reset every connection."""
+        if self.socket.fileno() < 0:
+            return
+        self.socket.shutdown(socket.SHUT_RDWR)
+        self.socket.close()
+        for link in self.links:
+            try:
+                link.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                link.shutdown(socket.SHUT_RD)
+            except OSError:
+                continue
+            link.close()
+
+
+class SetupServer(Listener):
+    """Answers set-ups as its behaviour says: answer, full, silent, hold (answer, then nothing)."""
+
+    def __init__(self, behaviour: str = "answer") -> None:
+        self.behaviour = behaviour
+        self.heard: list[tuple[int, bytes, dict[int, bytes]]] = []
+        super().__init__()
+
+    def serve(self, link: socket.socket) -> None:
+        file = link.makefile("rb")
+        link.sendall(binary(43, bytes(8), (51, b"x0:50;x1:50;novelty:1")))
+        while head := file.read(2):
+            body = file.read(struct.unpack("!H", head)[0])
+            told, at = {}, 9
+            while at < len(body):
+                code, size = struct.unpack_from("!BH", body, at)
+                told[code] = body[at + 3 : at + 3 + size]
+                at += 3 + size
+            self.heard.append((body[0], body[1:9], told))
+            if body[0] == 1:
+                self.answer(link, body[1:9], told)
+
+    def answer(self, link: socket.socket, call: bytes, told: dict[int, bytes]) -> None:
+        if self.behaviour in ("answer", "hold"):
+            link.sendall(binary(6, call) + binary(9, call, (63, b"v=" + call.hex().encode())))
+        if self.behaviour == "answer":
+            link.sendall(binary(12, call, (61, b"\x10"), (51, b"x0:49;x1:50")))
+        if self.behaviour == "full":
+            link.sendall(binary(12, call, (61, b"\x22"), (47, b"overload")))
+
+    def release_all(self) -> None:
+        for kind, call, _ in list(self.heard):
+            if kind == 1:
+                self.links[-1].sendall(binary(12, call, (61, b"\x10")))
+
+
+def binary(kind: int, call: bytes, *told: tuple[int, bytes]) -> bytes:
+    """One message of the binary wire."""
+    body = bytes((kind,)) + call + b"".join(struct.pack("!BH", c, len(v)) + v for c, v in told)
+    return struct.pack("!H", len(body)) + body
+
+
+class Board(Listener):
+    """Sends each poller what it has not heard of, and comments."""
+
+    def __init__(self) -> None:
+        self.events: list[tuple[int, dict]] = []
+        self.polls: list[str] = []
+        super().__init__()
+
+    def serve(self, link: socket.socket) -> None:
+        file = link.makefile("rb")
+        last = 0
+        while (line := file.readline()) not in (b"\r\n", b""):
+            if line.lower().startswith(b"last-event-id:"):
+                last = int(line.split(b":")[1])
+        self.polls.append(str(last))
+        link.sendall(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")
+        while True:
+            for id_, event in list(self.events):
+                if id_ > last:
+                    last = id_
+                    link.sendall(f"id: {id_}\ndata: {json.dumps(event)}\n\n".encode())
+            link.sendall(b": still here\n\n")
+            time.sleep(0.05)
+
+
+class Resolver(Listener):
+    """A DNS server that answers as it is told: one reply, several, or none."""
+
+    def __init__(self, *answers: Callable[[dns.Message], list[bytes]]) -> None:
+        self.answers = list(answers)
+        self.queries: list[dns.Message] = []
+        super().__init__()
+        self.udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.udp.bind((HOST, self.port))
+        threading.Thread(target=self._datagrams, daemon=True).start()
+
+    def _datagrams(self) -> None:
+        while True:
+            try:
+                data, asker = self.udp.recvfrom(4096)
+                for reply in self.replies(data, over_tcp=False):
+                    self.udp.sendto(reply, asker)
+            except OSError:
+                return
+
+    def serve(self, link: socket.socket) -> None:
+        file = link.makefile("rb")
+        while head := file.read(2):
+            for reply in self.replies(file.read(struct.unpack("!H", head)[0]), over_tcp=True):
+                link.sendall(struct.pack("!H", len(reply)) + reply)
+
+    def replies(self, data: bytes, over_tcp: bool) -> list[bytes]:
+        query = dns.Message()
+        query.fromStr(data)
+        query.over_tcp = over_tcp
+        self.queries.append(query)
+        return self.answers[min(len(self.queries), len(self.answers)) - 1](query)
+
+    def die(self) -> None:
+        self.udp.close()
+        super().die()
+
+
+def reply(query: dns.Message, rcode: int = dns.OK, records: int = 1, **changes: object) -> bytes:
+    """A resolver's reply with so many NAPTR records."""
+    name = changes.pop("owner", query.queries[0].name.name)
+    queries = changes.pop("queries", query.queries)
+    message = dns.Message(
+        changes.pop("id", query.id), answer=1, recDes=1, recAv=1, rCode=rcode, maxSize=0, **changes
+    )
+    message.queries = queries
+    for i in range(records):
+        uri = b"!^.*$!sip:warden%d@example.org!" % i
+        record = dns.Record_NAPTR(100, i, b"u", b"E2U+sip", uri, b"", ttl=60)
+        message.answers.append(dns.RRHeader(name, dns.NAPTR, ttl=60, payload=record))
+    return message.toStr()
+
+
+def ask(address: tuple[str, int], name: bytes, id_: int = 7, over_tcp: bool = False) -> dns.Message:
+    """Ask the program's ENUM front once; its answer."""
+    (message,) = ask_many(address, [(name, id_)], over_tcp)
+    return message
+
+
+def query(name: bytes, id_: int = 7, type_: int = dns.NAPTR) -> bytes:
+    message = dns.Message(id_, recDes=1)
+    message.queries = [dns.Query(name, type_)]
+    return message.toStr()
+
+
+def ask_many(address: tuple[str, int], asked: list, over_tcp: bool = False, quiet_s: float = 0.0) -> list:
+    """Ask several at once over one socket; all answers, and whatever else comes within quiet_s."""
+    kind = socket.SOCK_STREAM if over_tcp else socket.SOCK_DGRAM
+    answers = []
+    with socket.socket(socket.AF_INET, kind) as link:
+        link.settimeout(PATIENCE_S)
+        link.connect(address)
+        for name, id_ in asked:
+            data = query(name, id_)
+            link.sendall(struct.pack("!H", len(data)) + data if over_tcp else data)
+        file = link.makefile("rb") if over_tcp else None
+        while True:
+            try:
+                data = file.read(struct.unpack("!H", file.read(2))[0]) if file else link.recv(4096)
+            except TimeoutError:
+                if len(answers) < len(asked):
+                    raise
+                return answers
+            answers.append(dns.Message())
+            answers[-1].fromStr(data)
+            if len(answers) >= len(asked):
+                if not quiet_s:
+                    return answers
+                link.settimeout(quiet_s)
+
+
+class Program:
+    """The proxy itself, started as deploy/balancer.toml does but for the listening ports."""
+
+    def __init__(
+        self, folder: Path, servers: dict[str, str], release: bool = True, enum: str = "", **more: object
+    ):
+        self.board = Board()
+        known = {
+            "rev": 1,
+            "notices": [notice(1, *((u, a, "active") for u, a in servers.items()), whole=True)],
+        }
+        told = {"name": "n0", "listen": f"{HOST}:0", "seed": "5eed", "board": self.board.address}
+        told |= {"known": known, "settings": settings(), "limits": {"sockets": 256}} | more
+        (folder / "config.json").write_text(json.dumps(told))
+        (folder / "enum.toml").write_text(enum or "enabled = false\n")
+        environ = {"NODE_CONFIG": str(folder / "config.json"), "LEADSLIP_ENUM": str(folder / "enum.toml")}
+        flags = ["-O"] if release else []
+        self.process = subprocess.Popen(
+            [sys.executable, "-u", *flags, "-m", "leadslip"],
+            cwd=ROOT,
+            env=os.environ | environ,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            text=True,
+        )
+        self.log: list[str] = []
+        self.listen = self.enum_at = ("", 0)
+        for line in self.process.stdout:
+            self.log.append(line)
+            words = line.split()
+            if "ENUM look-ups on" in line:
+                self.enum_at = (HOST, int(words[-1].rpartition(":")[2]))
+            if " serves on " in line:
+                self.listen = (HOST, int(words[-1].rpartition(":")[2]))
+                break
+        self.reader = threading.Thread(target=self._read, daemon=True)
+        self.reader.start()
+
+    def _read(self) -> None:
+        self.log.extend(self.process.stdout)
+
+    def counts(self) -> dict[str, int]:
+        """The last counters logged; complete once the program has ended."""
+        line = [line for line in self.log if " counts" in line][-1]
+        return {k: int(v) for k, v in (part.split("=") for part in line.split(" counts")[1].split())}
+
+    def stop(self) -> int:
+        """SIGTERM, and the exit code."""
+        if self.process.poll() is None:
+            self.process.send_signal(signal.SIGTERM)
+        try:
+            code = self.process.wait(PATIENCE_S)
+        except subprocess.TimeoutExpired:
+            self.process.kill()
+            code = self.process.wait()
+        self.reader.join(PATIENCE_S)
+        return code
+
+
+class Caller:
+    """One SIP connection to the program."""
+
+    def __init__(self, program: Program) -> None:
+        self.socket = socket.create_connection(program.listen, timeout=PATIENCE_S)
+        self.file = self.socket.makefile("rb")
+
+    def say(self, method: str, id_: str, body: bytes = b"", **headers: object) -> None:
+        more = "".join(f"{name.replace('_', '-')}: {value}\r\n" for name, value in headers.items())
+        cseq = "INVITE" if method == "ACK" else method
+        self.socket.sendall(
+            f"{method} sip:0123@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: {id_}\r\nCSeq: 1 {cseq}\r\n"
+            f"{more}Content-Length: {len(body)}\r\n\r\n".encode()
+            + body
+        )
+
+    def invite(self, id_: str, kind: str = "plain", expires: int = 3000, dest: int = 0) -> None:
+        info = f"dest:{dest};width:1;via:-1"
+        self.say("INVITE", id_, b"c=offer", Priority_Class=kind, Expires_Ms=expires, P_Trunk_Info=info)
+
+    def hear(self) -> tuple[str, dict[str, str], bytes]:
+        """The next message: start line, headers, body."""
+        start = self.file.readline().decode().strip()
+        headers = {}
+        while line := self.file.readline().decode().strip():
+            name, _, value = line.partition(": ")
+            headers[name] = value
+        return start, headers, self.file.read(int(headers.get("Content-Length", 0)))
