Dial anew past a silent connection; test the program over sockets

A machine that vanished left its connection open and its calls standing for ever: once a set-up times out and nothing has been heard for 2 s, another connection is dialled; if none comes up, what stood there is released as cut. Integration tests start the program in both modes with stand-in servers and board. Found by them: settings such as limits.most_tries = 0 ended in a traceback and exit 1; they now name the key and exit 2.

--- a/leadslip/config.py
+++ b/leadslip/config.py
@@ -175,6 +175,17 @@
 }
 
 
+POSITIVE = (
+    "balancers",
+    "limits.most_tries",
+    "limits.dial_timeout_ms",
+    "limits.most_held",
+    "obligations.cold_from",
+    "obligations.tip_multiple",
+    "tick_ms",
+)
+
+
 @dataclass(frozen=True, slots=True)
 class Notice:
     """One event of the notice board: list news, and where each server listens."""
@@ -290,6 +301,11 @@
         settings = settings_of(flat)
         if whole(flat, "services.count") < 1:
             raise MalformedError("services is empty")
+        for key in POSITIVE:
+            if key in flat and not number(flat, key) > 0:
+                raise MalformedError(f"{key} must be above 0: {flat[key]}")
+        if settings.cold_fraction > 1:
+            raise MalformedError(f"obligations.cold_from must not be above 1: {settings.cold_fraction}")
         dial_timeout_ms = number(flat, "limits.dial_timeout_ms", 500.0)
         most_held = whole(flat, "limits.most_held", 20_000)
     except MalformedError as fault:
@@ -309,8 +325,6 @@
     sockets = limits.get("sockets", 1024)
     if not isinstance(sockets, int) or sockets < 16:
         raise MalformedError(f"limits.sockets makes no sense: {sockets!r}")
-    if dial_timeout_ms <= 0:
-        raise MalformedError("settings.limits.dial_timeout_ms makes no sense")
     return Config(
         name=str(told.get("name", "")),
         listen=address_of(member(told, "listen", str), "listen"),
--- a/leadslip/net/servers.py
+++ b/leadslip/net/servers.py
@@ -32,6 +32,9 @@
 HEAD = struct.Struct("!HB8s")  # length, type, call
 PARAMETER = struct.Struct("!BH")  # code, length
 NORMAL = 16
+SILENT_MS = (
+    2000.0  # for so long a connection with set-ups timing out may say nothing before another is dialled
+)
 
 
 def parameters(view: memoryview, at: int) -> dict[int, memoryview]:
@@ -62,7 +65,7 @@
 
     def __init__(self, server: Server) -> None:
         self.server, self.tally, self.now_ms = server, server.far.tally, server.far.now_ms
-        self.heard_ms = 0.0
+        self.heard_ms = self.now_ms()
 
     def connectionMade(self) -> None:
         super().connectionMade()
@@ -117,6 +120,7 @@
     ) -> None:
         self.far, self.uid, self.address, self.state, self.since = far, uid, address, state, since
         self.link: ServerLink | None = None
+        self.old: ServerLink | None = None  # a silent connection that another has taken the place of
         self.dialling = False
         self.waiting: dict[bytes, Attempt] = {}  # set-ups that wait for a connection
         self.calls: dict[bytes, Attempt] = {}  # set-ups out, and calls that stand
@@ -156,8 +160,19 @@
         call = bytes.fromhex(attempt.request.id)
         if self.waiting.pop(call, None) is None and self.calls.pop(call, None) is not None and self.link:
             self.link.say(message(RELEASE, call, (CAUSE, bytes((NORMAL,)))))
+            self._doubt()
         self.far.tidy(self)
 
+    def _doubt(self) -> None:
+        """Dial anew where a connection has been silent for long: a vanished machine never says so.
+
+        Guards against calls that stand for ever at a machine that is gone, since open connections to it stay
+        open; a processor that only hangs accepts the new connection, and nothing is lost.
+        """
+        if self.link is not None and self.far.now_ms() - self.link.heard_ms > SILENT_MS:
+            self.far.tally.add("servers.silent")
+            self.dial()
+
     # Connections.
 
     def dial(self) -> None:
@@ -169,7 +184,9 @@
 
     def connected(self, link: ServerLink) -> None:
         self.dialling = False
-        self.link = link
+        if self.old is not None:
+            self.old.transport.abortConnection()
+        self.old, self.link = self.link, link
         waiting, self.waiting = self.waiting, {}
         for call, attempt in waiting.items():
             if not self.far.engine.sent_to(self.uid):
@@ -186,12 +203,19 @@
         waiting, self.waiting = self.waiting, {}
         for attempt in waiting.values():
             self.far.engine.ended(attempt, face.Outcome.NO_CONNECTION)
+        if self.link is not None:
+            # Silent, and no other connection comes up: the machine has vanished.
+            link, self.link = self.link, None
+            link.transport.abortConnection()
+            self.cut(standing=False)
         # A process that is gone has cut its calls, and no connection will come up to tell of it.
         self.cut(standing=True)
         self.far.tidy(self)
 
     def lost(self, link: ServerLink) -> None:
         """A connection has gone: the set-ups open on it may have run; calls that stand may stand on."""
+        if self.old is link:
+            self.old = None
         if self.link is not link:
             return
         self.link = None
@@ -279,8 +303,9 @@
     def tidy(self, server: Server) -> None:
         """A server that has left is forgotten once nothing is open there."""
         if server.state is face.ServerState.GONE and not server.calls:
-            if server.link is not None:
-                server.link.transport.loseConnection()
+            for link in (server.link, server.old):
+                if link is not None:
+                    link.transport.loseConnection()
             if self.servers.get(server.uid) is server:
                 del self.servers[server.uid]
 
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -21,6 +21,14 @@
 PATIENCE_S = 20.0  # ends a test that hangs; nothing is timed by it
 
 
+def wait_for(seen: Callable[[], bool]) -> None:
+    """Wait for what must come; the patience only ends a test that hangs."""
+    until = time.monotonic() + PATIENCE_S
+    while not seen():
+        assert time.monotonic() < until
+        time.sleep(0.01)
+
+
 def settings(**changes: object) -> dict:
     """Settings as a proxy is told them."""
     service = {"gain": 1.0, "late_worth": 0.2, "aim_ms": 1500.0, "deadline_ms": 3000.0}
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,163 @@
+"""The program itself, started and spoken to over sockets."""
+
+import contextlib
+import json
+import os
+import socket
+import subprocess
+import sys
+import time
+
+import pytest
+
+from tests.standins import HOST, ROOT, Caller, Program, SetupServer, notice, settings, wait_for
+
+FIRST, SECOND = "9b1f03aa5c7e2d41", "0b1f03aa5c7e2d42"
+
+
+@pytest.fixture
+def start(tmp_path):
+    started = []
+
+    def begin(*behaviours, release=True, **more):
+        servers = [SetupServer(behaviour) for behaviour in behaviours]
+        program = Program(tmp_path, {f"s{i}": s.address for i, s in enumerate(servers)}, release, **more)
+        started.append(program)
+        return program, servers
+
+    yield begin
+    for program in started:
+        code = program.stop()
+        assert code == 0 and "Traceback" not in "".join(program.log), program.log
+        assert not [name for name in program.counts() if name.startswith("broken")]
+
+
+@pytest.mark.parametrize("release", [True, False], ids=["release", "debug"])
+def test_a_call_stands_with_the_servers_description_and_is_released(start, release):
+    program, (server,) = start("answer", release=release)
+    caller = Caller(program)
+    caller.say("OPTIONS", FIRST)
+    assert caller.hear()[0] == "SIP/2.0 200 OK"
+    caller.invite(FIRST, "urgent")
+    status, headers, body = caller.hear()
+    assert (status, headers["Call-ID"], headers["CSeq"]) == ("SIP/2.0 200 OK", FIRST, "1 INVITE")
+    assert body == b"v=" + FIRST.encode()
+    caller.say("ACK", FIRST)
+    start_line, headers, _ = caller.hear()
+    assert start_line.startswith("BYE ") and headers["Reason"] == "Q.850;cause=16"
+    kind, call, told = server.heard[0]
+    assert (kind, call.hex(), told[33], told[41], told[63]) == (1, FIRST, b"urgent", b"0123", b"c=offer")
+    assert 0 < int(told[35]) <= 3000
+
+
+def test_a_full_server_is_left_for_another_and_two_full_ones_are_a_refusal(start):
+    program, (full, other) = start("full", "answer")
+    caller = Caller(program)
+    caller.invite(FIRST)
+    assert caller.hear()[0] == "SIP/2.0 200 OK"
+    assert len(full.heard) == 1
+    other.behaviour = "full"
+    caller.hear()
+    caller.invite(SECOND, dest=1)
+    assert caller.hear()[0] == "SIP/2.0 503 Service Unavailable"
+
+
+def test_a_silent_server_is_a_failure_before_the_caller_quits_and_is_given_up(start):
+    program, (server,) = start("silent")
+    caller = Caller(program)
+    caller.invite(FIRST, expires=300)
+    assert caller.hear()[0] == "SIP/2.0 500 Server Internal Error"
+    caller.say("OPTIONS", FIRST)
+    caller.hear()
+    wait_for(lambda: len(server.heard) > 1)
+    assert server.heard[1][0] == 12 and server.heard[1][2][61] == b"\x10"
+
+
+def test_a_cancelled_set_up_gets_no_final_answer(start):
+    program, (server,) = start("silent")
+    caller = Caller(program)
+    caller.invite(FIRST)
+    caller.say("CANCEL", FIRST)
+    status, headers, _ = caller.hear()
+    assert headers["CSeq"] == "1 CANCEL"
+    caller.say("OPTIONS", FIRST)
+    assert caller.hear()[1]["CSeq"] == "1 OPTIONS"
+
+
+def test_a_server_that_dies_ends_its_standing_calls_at_the_callers(start):
+    program, (server,) = start("hold")
+    caller = Caller(program)
+    caller.invite(FIRST)
+    caller.hear()
+    server.die()
+    start_line, headers, _ = caller.hear()
+    assert start_line.startswith("BYE ") and headers["Reason"] == "Q.850;cause=41"
+
+
+def test_the_board_tells_of_a_new_server_and_of_one_that_left(start):
+    program, (first,) = start("answer")
+    second = SetupServer("answer")
+    there = ("s1", second.address, "active")
+    program.board.events.append((2, notice(2, ("s0", first.address, "left"), there)))
+    caller = Caller(program)
+    for count in range(2000):
+        if second.heard:
+            break
+        caller.invite(f"{count:016x}")
+        status, _, _ = caller.hear()
+        if status.startswith("SIP/2.0 200"):
+            caller.hear()
+        time.sleep(0.01)
+    assert second.heard and program.board.polls[0] == "1"
+
+
+def test_sigterm_fails_the_test_but_serves_what_stands_to_the_end(start):
+    program, (server,) = start("hold")
+    caller = Caller(program)
+    caller.invite(FIRST)
+    caller.hear()
+    program.process.terminate()
+    status = "200"
+    while "200" in status:
+        caller.say("OPTIONS", SECOND)
+        status = caller.hear()[0]
+    assert status == "SIP/2.0 503 Service Unavailable"
+    caller.invite(SECOND)
+    assert caller.hear()[0] == "SIP/2.0 200 OK"
+    server.release_all()
+    assert caller.hear()[0].startswith("BYE ") and caller.hear()[0].startswith("BYE ")
+
+
+def test_garbage_from_one_caller_leaves_the_others_alone(start):
+    program, _ = start("answer")
+    caller, rude = Caller(program), socket.create_connection(program.listen)
+    rude.sendall(b"\0\1\2 nonsense\r\n\r\n")
+    with contextlib.suppress(ConnectionResetError):
+        assert rude.recv(10) == b""
+    caller.invite(FIRST)
+    assert caller.hear()[0] == "SIP/2.0 200 OK"
+
+
+@pytest.mark.parametrize(
+    ("spoil", "key"),
+    [
+        ({"settings": settings(tick_ms="soon")}, "settings.tick_ms"),
+        ({"settings": settings(services=[])}, "settings.services"),
+        ({"settings": settings(limits={"most_tries": 0})}, "settings.limits.most_tries"),
+        ({"listen": "here"}, "listen"),
+        ({"listen": "localhost:1"}, "listen"),
+        ({"board": None}, "board"),
+        ({"seed": "xyz"}, "seed"),
+        ({"known": {"rev": 1, "notices": [{"rev": 1}]}}, "known.notices.0.pool"),
+        ({"known": {"rev": 1, "notices": [notice(1, ("s", f"{HOST}:1", "odd"))]}}, "pool.targets.0.state"),
+        ({"limits": {"sockets": 0}}, "limits.sockets"),
+    ],
+)
+def test_a_bad_configuration_names_its_key_and_exits_with_2(tmp_path, spoil, key):
+    told = {"name": "n", "listen": f"{HOST}:0", "seed": "1", "board": f"{HOST}:1", "settings": settings()}
+    told |= {"known": {"rev": 1, "notices": []}} | spoil
+    (tmp_path / "c.json").write_text(json.dumps(told))
+    environ = os.environ | {"NODE_CONFIG": str(tmp_path / "c.json")}
+    command = [sys.executable, "-O", "-m", "leadslip"]
+    done = subprocess.run(command, cwd=ROOT, env=environ, capture_output=True, text=True, timeout=30)
+    assert done.returncode == 2 and key in done.stderr and len(done.stderr.splitlines()) == 1
