Add the configuration tool, OTLP export, example and design reasons

configure.py writes and checks the files of each application and writes nothing unless all are sound; net/otlp.py exports counters and spans over OTLP/HTTP, off by default, with a bounded queue and counted losses.

--- a/leadslip/__main__.py
+++ b/leadslip/__main__.py
@@ -47,11 +47,25 @@
 class Node:
     """The parts of one proxy and their life."""
 
-    def __init__(self, conf: config.Config, enum_conf: config.EnumConfig | None) -> None:
+    def __init__(
+        self,
+        conf: config.Config,
+        enum_conf: config.EnumConfig | None,
+        otlp_conf: config.OtlpConfig | None,
+    ) -> None:
         self.enum_conf = enum_conf
         self.conf, self.tally, self.clock = conf, Tally(), SystemClock()
         self.draining_ms = 0.0
         self.deadlines = Deadlines(self.clock, reactor)
+        self.exporter = None
+        if otlp_conf is not None:
+            # Imported only where wanted: the library costs some MB of the platform's memory.
+            from leadslip.net.otlp import Exporter, Watch
+
+            self.exporter = Exporter(reactor, otlp_conf, conf.name, self.deadlines, self.tally)
+            self.watches = [Watch(self.exporter, "sip", "INVITE"), Watch(self.exporter, "dns", "NAPTR")]
+        else:
+            self.watches = [None, None]
         self.servers = Servers(reactor, self.tally, self.clock.now_ms, conf.dial_timeout_ms, self.unknown_end)
         self.engine = self.servers.engine = Engine(
             conf.settings,
@@ -62,6 +76,7 @@
             self.tally,
             log,
             conf.most_held,
+            self.watches[0],
         )
         self.engines = [self.engine]
         self.clients = Clients(self.engine, self.tally, conf.sockets // 2, self.ready)
@@ -82,9 +97,13 @@
         host, port = self.conf.listen
         port = reactor.listenTCP(port, self.clients, backlog=512, interface=host).getHost().port
         self.board.poll()
+        if self.exporter is not None:
+            self.exporter.start()
         if self.enum_conf is not None:
             self.engines.append(
-                enum.start(reactor, self.enum_conf, self.conf.seed, self.deadlines, self.tally, log)
+                enum.start(
+                    reactor, self.enum_conf, self.conf.seed, self.deadlines, self.tally, log, self.watches[1]
+                )
             )
         self.report()
         gc.collect()
@@ -126,6 +145,8 @@
         held = any(engine.open or engine.standing for engine in self.engines)
         if now_ms >= last_ms or (now_ms >= self.draining_ms + DRAIN_MS and not held):
             self.board.stop()
+            if self.exporter is not None:
+                self.exporter.flush()
             self.report()
             reactor.callLater(0.05, reactor.stop)  # what is written gets out first
             return
@@ -135,12 +156,12 @@
 def main() -> int:
     """Run until a SIGTERM has been served; 2 when the configuration makes no sense."""
     try:
-        conf, enum_conf = config.load(), config.load_enum()
+        conf, enum_conf, otlp_conf = config.load(), config.load_enum(), config.load_otlp()
     except config.MalformedError as fault:
         print(f"leadslip: {fault}", file=sys.stderr)
         return 2
     show_errors()
-    node = Node(conf, enum_conf)
+    node = Node(conf, enum_conf, otlp_conf)
     failed = []
 
     def start() -> None:
--- a/leadslip/config.py
+++ b/leadslip/config.py
@@ -225,6 +225,17 @@
     settings: face.Settings
 
 
+@dataclass(frozen=True, slots=True)
+class OtlpConfig:
+    """The export of metrics and traces."""
+
+    collector: Address
+    interval_ms: float
+    timeout_ms: float
+    most_spans: int
+    most_batch: int
+
+
 def flatten(value: object, path: str = "") -> Fields:
     """Nested JSON settings as the simulator's start message has them: path=value pairs, all text."""
     if isinstance(value, Mapping):
@@ -350,21 +361,9 @@
 
 def enum_of(told: Mapping) -> EnumConfig | None:
     """The checked configuration of the ENUM front; None where it is not turned on."""
-    for key in told:
-        if key not in ("enabled", "listen", "resolvers", "suffix", *ENUM_KEYS):
-            raise MalformedError(f"enum.{key} is unknown")
-    enabled = told.get("enabled", False)
-    if not isinstance(enabled, bool):
-        raise MalformedError(f"enum.enabled is neither true nor false: {enabled!r}")
-    if not enabled:
+    if not _turned_on(told, "enum", ("listen", "resolvers", "suffix", *ENUM_KEYS)):
         return None
-    figures = {}
-    for key, (default, least, most) in ENUM_KEYS.items():
-        value = told.get(key, default)
-        kinds = int if isinstance(default, int) else (int, float)
-        if isinstance(value, bool) or not isinstance(value, kinds) or not least <= value <= most:
-            raise MalformedError(f"enum.{key} must lie between {least} and {most}: {value!r}")
-        figures[key] = value
+    figures = _figures(told, "enum", ENUM_KEYS)
     listed = member(told, "resolvers", list, "enum")
     if not listed:
         raise MalformedError("enum.resolvers is empty")
@@ -396,19 +395,64 @@
     )
 
 
-ENUM_FILE = "deploy/enum.toml"
+OTLP_KEYS = {  # key -> (default, least, most)
+    "interval_ms": (5000.0, 10.0, 600_000.0),
+    "timeout_ms": (3000.0, 10.0, 60_000.0),
+    "most_spans": (4096, 1, 100_000),
+    "most_batch": (512, 1, 10_000),
+}
 
 
-def load_enum(environ: Mapping[str, str] = os.environ) -> EnumConfig | None:
-    """The ENUM front's file: LEADSLIP_ENUM, or the one under deploy/; off where there is none."""
-    path = environ.get("LEADSLIP_ENUM")
-    if path is None and not os.path.exists(ENUM_FILE):
+def otlp_of(told: Mapping) -> OtlpConfig | None:
+    """The checked configuration of the OTLP export; None where it is not turned on."""
+    if not _turned_on(told, "otlp", ("collector", *OTLP_KEYS)):
         return None
+    figures = _figures(told, "otlp", OTLP_KEYS)
+    return OtlpConfig(address_of(member(told, "collector", str, "otlp"), "otlp.collector"), **figures)
+
+
+def _turned_on(told: Mapping, path: str, keys: tuple[str, ...]) -> bool:
+    for key in told:
+        if key != "enabled" and key not in keys:
+            raise MalformedError(f"{path}.{key} is unknown")
+    enabled = told.get("enabled", False)
+    if not isinstance(enabled, bool):
+        raise MalformedError(f"{path}.enabled is neither true nor false: {enabled!r}")
+    return enabled
+
+
+def _figures(told: Mapping, path: str, keys: Mapping[str, tuple]) -> dict:
+    """Figures within their bounds; whole where the default is."""
+    figures = {}
+    for key, (default, least, most) in keys.items():
+        value = told.get(key, default)
+        kinds = int if isinstance(default, int) else (int, float)
+        if isinstance(value, bool) or not isinstance(value, kinds) or not least <= value <= most:
+            raise MalformedError(f"{path}.{key} must lie between {least} and {most}: {value!r}")
+        figures[key] = value
+    return figures
+
+
+def _optional(environ: Mapping[str, str], variable: str, file_name: str) -> dict:
+    """A file that an environment variable names, or the one under deploy/; nothing where there is none."""
+    path = environ.get(variable)
+    if path is None and not os.path.exists(file_name):
+        return {}
     try:
-        with open(path or ENUM_FILE, "rb") as file:
-            return enum_of(tomllib.load(file))
+        with open(path or file_name, "rb") as file:
+            return tomllib.load(file)
     except (OSError, ValueError) as fault:
-        raise MalformedError(f"{'LEADSLIP_ENUM' if path else ENUM_FILE} can't be read: {fault}") from fault
+        raise MalformedError(f"{variable if path else file_name} can't be read: {fault}") from fault
+
+
+def load_enum(environ: Mapping[str, str] = os.environ) -> EnumConfig | None:
+    """The ENUM front's configuration; off where there is none."""
+    return enum_of(_optional(environ, "LEADSLIP_ENUM", "deploy/enum.toml"))
+
+
+def load_otlp(environ: Mapping[str, str] = os.environ) -> OtlpConfig | None:
+    """The OTLP export's configuration; off where there is none."""
+    return otlp_of(_optional(environ, "LEADSLIP_OTLP", "deploy/otlp.toml"))
 
 
 def read_json(path: str, key: str) -> object:
--- a/leadslip/net/enum.py
+++ b/leadslip/net/enum.py
@@ -17,7 +17,7 @@
 from leadslip import interface as face
 from leadslip.checks import Tally
 from leadslip.config import Address, EnumConfig
-from leadslip.core import Attempt, Deadlines, Engine, Request
+from leadslip.core import Attempt, Deadlines, Engine, Request, Watcher
 from leadslip.net.links import MessageError, SliceReceiver
 
 HEADER = struct.Struct("!HBBHHHH")
@@ -411,6 +411,7 @@
     deadlines: Deadlines,
     tally: Tally,
     log: Callable[[str], None],
+    watcher: Watcher | None = None,
 ) -> Engine:
     """The whole path: askers, engine, resolvers; tells the engine, which drains like any other."""
     front = EnumFront(conf, tally, deadlines)
@@ -424,6 +425,7 @@
         tally,
         log,
         conf.most_held,
+        watcher,
         attempt_ms=conf.attempt_ms,
     )
     front.engine = resolvers.engine = engine
--- /dev/null
+++ b/tests/test_configure.py
@@ -0,0 +1,80 @@
+"""The configuration tool: what it writes starts the program's own checks, and what is wrong is named."""
+
+import json
+import tomllib
+
+import pytest
+
+from leadslip import config, configure
+
+SOURCE = (configure.Path(__file__).parent.parent / "example" / "applications.toml").read_text()
+
+
+@pytest.fixture
+def source(tmp_path):
+    def write(text):
+        (tmp_path / "applications.toml").write_text(text)
+        return str(tmp_path / "applications.toml")
+
+    return write
+
+
+def test_each_application_gets_files_that_the_program_takes(source, tmp_path, capsys):
+    assert configure.main(["write", source(SOURCE), str(tmp_path / "out")]) == 0
+    names = sorted(path.name for path in (tmp_path / "out").iterdir())
+    assert names == ["siren-desk", "voice-alerts"]
+    seeds = set()
+    for name in names:
+        place = tmp_path / "out" / name
+        told = config.load({"NODE_CONFIG": str(place / "config.json")})
+        seeds.add(told.seed)
+        assert told.name == name and len(told.notices[0].addresses) == 1
+        assert configure.main(["check", *map(str, place.iterdir())]) == 0
+    assert len(seeds) == 2
+    enum = tmp_path / "out" / "voice-alerts" / "enum.toml"
+    assert config.load_enum({"LEADSLIP_ENUM": str(enum)}).resolvers == (("127.0.0.1", 5301),)
+    assert not (tmp_path / "out" / "siren-desk" / "enum.toml").exists()
+    capsys.readouterr()
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "key"),
+    [
+        (
+            'listen = "127.0.0.1:5061"',
+            'listen = "127.0.0.1:5060"',
+            "application.1.listen is taken by siren-desk",
+        ),
+        ('listen = "127.0.0.1:5061"', 'listen = "nowhere"', "listen is no address:port"),
+        ('name = "voice-alerts"', 'name = "../x"', "application.1.name"),
+        ('name = "voice-alerts"', 'nome = "x"', "application.1.nome is unknown"),
+        ("tick_ms = 5.0", 'tick_ms = "x"', "settings.tick_ms is no number"),
+        ("most_tries = 4", "most_tries = 0", "settings.limits.most_tries"),
+        ("pod_group = 0", "pod_grup = 0", "servers.0.pod_grup is unknown"),
+        ("enabled = true", "enabled = 1", "enum.enabled"),
+        ('resolvers = ["127.0.0.1:5301"]', "resolvers = []", "enum.resolvers is empty"),
+        ("attempt_ms = 400", "attempt_ms = -1", "enum.attempt_ms"),
+        ("board =", "bored =", "bored is unknown"),
+    ],
+)
+def test_what_is_wrong_is_named_and_nothing_is_written(source, tmp_path, capsys, old, new, key):
+    assert old in SOURCE
+    path = source(SOURCE.replace(old, new))
+    assert configure.main(["write", path, str(tmp_path / "out")]) == 2
+    assert configure.main(["check", path]) == 2
+    assert key in capsys.readouterr().err and not (tmp_path / "out").exists()
+
+
+def test_the_files_under_deploy_are_off_and_sound():
+    root = configure.Path(__file__).parent.parent
+    for name, check in (("enum.toml", config.enum_of), ("otlp.toml", config.otlp_of)):
+        told = tomllib.loads((root / "deploy" / name).read_text())
+        assert check(told) is None
+        assert check(told | {"enabled": True}) is not None
+        with pytest.raises(config.MalformedError, match="odd is unknown"):
+            check(told | {"odd": 1})
+
+
+def test_an_example_configuration_is_json_that_the_program_takes():
+    path = configure.Path(__file__).parent.parent / "example" / "config.json"
+    assert config.config_of(json.loads(path.read_text())).name == "example"
--- /dev/null
+++ b/tests/test_otlp.py
@@ -0,0 +1,97 @@
+"""The OTLP export against a stand-in collector: what it gets, and that a dead one delays no call."""
+
+import time
+
+import pytest
+from opentelemetry.proto.collector.metrics.v1.metrics_service_pb2 import ExportMetricsServiceRequest
+from opentelemetry.proto.collector.trace.v1.trace_service_pb2 import ExportTraceServiceRequest
+from opentelemetry.proto.trace.v1.trace_pb2 import Span
+
+from tests.standins import HOST, Caller, Listener, Program, SetupServer, wait_for
+
+FIRST = "9b1f03aa5c7e2d41"
+
+
+class Collector(Listener):
+    """Takes exports, or reads them and never answers."""
+
+    def __init__(self, answers=True):
+        self.answers, self.metrics, self.spans, self.bodies = answers, {}, [], 0
+        super().__init__()
+
+    def serve(self, link):
+        file = link.makefile("rb")
+        while start := file.readline():
+            size = 0
+            while (line := file.readline()) not in (b"\r\n", b""):
+                if line.lower().startswith(b"content-length:"):
+                    size = int(line.split(b":")[1])
+            body = file.read(size)
+            self.bodies += 1
+            if not self.answers:
+                time.sleep(60)
+            if b"/v1/metrics" in start:
+                told = ExportMetricsServiceRequest.FromString(body)
+                (scope,) = told.resource_metrics[0].scope_metrics
+                self.metrics = {m.name: m.sum.data_points[0].as_int for m in scope.metrics}
+            else:
+                told = ExportTraceServiceRequest.FromString(body)
+                self.spans += told.resource_spans[0].scope_spans[0].spans
+            link.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+            return
+
+
+@pytest.fixture
+def start(tmp_path, monkeypatch):
+    started = []
+
+    def begin(collector, *lines):
+        text = ["enabled = true", f'collector = "{collector}"', "interval_ms = 50", *lines]
+        (tmp_path / "otlp.toml").write_text("\n".join(text))
+        monkeypatch.setenv("LEADSLIP_OTLP", str(tmp_path / "otlp.toml"))
+        program = Program(tmp_path, {"s0": SetupServer("answer").address})
+        started.append(program)
+        return program
+
+    yield begin
+    for program in started:
+        assert program.stop() == 0 and "Traceback" not in "".join(program.log), program.log
+
+
+def call(program, count=1):
+    caller = Caller(program)
+    for i in range(count):
+        caller.invite(f"{i:016x}")
+        assert caller.hear()[0] == "SIP/2.0 200 OK"
+        assert caller.hear()[0].startswith("BYE ")
+
+
+def test_a_collector_gets_counters_and_the_spans_of_a_call(start):
+    collector = Collector()
+    call(start(collector.address))
+    wait_for(lambda: len(collector.spans) == 2 and collector.metrics.get("leadslip.attempts.served"))
+    kinds = {span.kind: span for span in collector.spans}
+    server, client = kinds[Span.SPAN_KIND_SERVER], kinds[Span.SPAN_KIND_CLIENT]
+    assert client.trace_id == server.trace_id and client.parent_span_id == server.span_id
+    assert {a.key for a in client.attributes} == {"network.protocol.name", "server.address"}
+    assert server.name == "INVITE" and len(server.trace_id) == 16 and not server.status.code
+    assert server.start_time_unix_nano <= server.end_time_unix_nano
+    assert collector.metrics["leadslip.answers.stands"] == 1
+
+
+def test_a_dead_collector_delays_no_call_and_what_is_lost_is_counted(start):
+    program = start(f"{HOST}:1", "most_spans = 10")
+    call(program, 20)
+    program.stop()
+    counts = program.counts()
+    assert counts["answers.stands"] == 20 and counts["otlp.failed_exports"] and counts["otlp.dropped_spans"]
+
+
+def test_a_collector_that_never_answers_delays_no_call_and_its_queue_is_bounded(start):
+    collector = Collector(answers=False)
+    program = start(collector.address, "most_spans = 5", "timeout_ms = 20000")
+    wait_for(lambda: collector.bodies > 0)
+    call(program, 20)
+    program.stop()
+    counts = program.counts()
+    assert counts["answers.stands"] == 20 and counts["otlp.dropped_spans"] >= 20
