Pass on the ends of calls that stand since before a restart; say what remains

A restarted proxy only counted the release of a call that it did not hold; its caller would never have heard. It now goes out on any open connection. Ids of calls lately held are kept for 30 s, since a server tells an end again on the next connection.

--- a/leadslip/__main__.py
+++ b/leadslip/__main__.py
@@ -120,9 +120,10 @@
         """Whether the front may send calls here."""
         return not self.draining_ms and bool(self.servers.servers)
 
-    def unknown_end(self, call: bytes, cause: int) -> None:
-        """A server ends a call that is not held: it may stand since before a restart of this proxy."""
+    def unknown_end(self, call: bytes, cut: bool) -> None:
+        """A server ends a call never held here: it stands since before a restart, and its caller is told."""
         self.tally.add("servers.unknown_ends")
+        self.clients.release(call.hex(), cut)
 
     def report(self, _: object = None) -> None:
         """Log the counters now and then."""
--- a/leadslip/net/servers.py
+++ b/leadslip/net/servers.py
@@ -31,7 +31,8 @@
 }
 HEAD = struct.Struct("!HB8s")  # length, type, call
 PARAMETER = struct.Struct("!BH")  # code, length
-NORMAL = 16
+NORMAL, CUT = 16, 41
+RECENT_MS = 30_000.0  # for so long the end of a call that was held here may be told again
 SILENT_MS = (
     2000.0  # for so long a connection with set-ups timing out may say nothing before another is dialled
 )
@@ -158,11 +159,18 @@
     def end(self, attempt: Attempt) -> None:
         """Give a set-up up, or release a call that stands: cause 16 either way."""
         call = bytes.fromhex(attempt.request.id)
-        if self.waiting.pop(call, None) is None and self.calls.pop(call, None) is not None and self.link:
+        if self.waiting.pop(call, None) is None and self._drop(call) is not None and self.link:
             self.link.say(message(RELEASE, call, (CAUSE, bytes((NORMAL,)))))
             self._doubt()
         self.far.tidy(self)
 
+    def _drop(self, call: bytes) -> Attempt | None:
+        """Forget a call; that it was held is remembered for a while, as its end may be told once more."""
+        attempt = self.calls.pop(call, None)
+        if attempt is not None:
+            self.far.remember(call)
+        return attempt
+
     def _doubt(self) -> None:
         """Dial anew where a connection has been silent for long: a vanished machine never says so.
 
@@ -229,7 +237,7 @@
     def cut(self, standing: bool) -> None:
         """End the set-ups that are out, or the calls that stand, as cut."""
         for call, attempt in list(self.calls.items()):
-            if attempt.stands is standing and self.calls.pop(call, None) is not None:
+            if attempt.stands is standing and self._drop(call) is not None:
                 self.far.engine.ended(attempt, face.Outcome.CUT)
 
     # What the server says.
@@ -240,9 +248,10 @@
             self.far.engine.stood(attempt, description)
 
     def released(self, call: bytes, cause: int, note: face.Cause, load: face.Load | None) -> None:
-        attempt = self.calls.pop(call, None)
+        attempt = self._drop(call)
         if attempt is None:
-            self.far.unknown_end(call, cause)
+            if call not in self.far.recent and cause in (NORMAL, CUT):
+                self.far.unknown_end(call, cause != NORMAL)
         elif attempt.stands:
             outcome = face.Outcome.SERVED if cause == NORMAL else face.Outcome.CUT
             self.far.engine.ended(attempt, outcome, load=load)
@@ -261,12 +270,13 @@
         tally: Tally,
         now_ms: Callable[[], float],
         dial_timeout_ms: float,
-        unknown_end: Callable[[bytes, int], None],
+        unknown_end: Callable[[bytes, bool], None],
     ) -> None:
         self.reactor, self.tally, self.now_ms = reactor, tally, now_ms
         self.dial_timeout_s = dial_timeout_ms / 1000.0
         self.unknown_end = unknown_end
         self.servers: dict[str, Server] = {}
+        self.recent: dict[bytes, float] = {}  # calls lately over here -> when, oldest first
 
     def listed(self, news: face.ListNews, addresses: dict[str, Address]) -> None:
         """Take news of the list; to be called before the engine is told, so that it can send there."""
@@ -309,6 +319,13 @@
             if self.servers.get(server.uid) is server:
                 del self.servers[server.uid]
 
+    def remember(self, call: bytes) -> None:
+        """Keep the id of a call that is over here; the oldest are forgotten."""
+        now_ms = self.now_ms()
+        self.recent[call] = now_ms
+        while now_ms - next(iter(self.recent.values())) > RECENT_MS:
+            del self.recent[next(iter(self.recent))]
+
     def load_of(self, report: memoryview | None) -> face.Load | None:
         """A report such as x0:12;x1:40; fields of unknown names are skipped."""
         if report is None:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from tests.standins import HOST, ROOT, Caller, Program, SetupServer, notice, settings, wait_for
+from tests.standins import HOST, ROOT, Caller, Program, SetupServer, binary, notice, settings, wait_for
 
 FIRST, SECOND = "9b1f03aa5c7e2d41", "0b1f03aa5c7e2d42"
 
@@ -161,3 +161,15 @@
     command = [sys.executable, "-O", "-m", "leadslip"]
     done = subprocess.run(command, cwd=ROOT, env=environ, capture_output=True, text=True, timeout=30)
     assert done.returncode == 2 and key in done.stderr and len(done.stderr.splitlines()) == 1
+
+
+def test_the_end_of_a_call_from_before_a_restart_reaches_its_caller_once(start):
+    program, (server,) = start("hold")
+    caller = Caller(program)
+    caller.invite(FIRST)
+    caller.hear()
+    for id_, cause in ((SECOND, b"\x22"), (FIRST, b"\x10"), (FIRST, b"\x10"), (SECOND, b"\x10")):
+        server.links[-1].sendall(binary(12, bytes.fromhex(id_), (61, cause)))
+    heard = [caller.hear()[1]["Call-ID"] for _ in range(2)]
+    caller.say("OPTIONS", FIRST)
+    assert heard == [FIRST, SECOND] and caller.hear()[0] == "SIP/2.0 200 OK"
