Take the configuration anew on SIGHUP and move the notice board; answer all before the kill

Now: all configuration is read by config.reload, taken whole or kept with the reason in the log; the board is polled at its new address at once with the numbering kept, and callbacks of an earlier poll are told apart by its number. Before the exit every open request is answered.

Ruled out: that the new configuration brings more than the board (the logs show the reload accepted each time).

--- a/leadslip/__main__.py
+++ b/leadslip/__main__.py
@@ -20,7 +20,8 @@
 from leadslip.net.servers import Servers
 
 DRAIN_MS = 900.0  # new work may still come for so long after SIGTERM
-KILLED_AFTER_MS = 3700.0  # SIGKILL may follow then, or later where the longest deadline is longer
+LONGEST_COUNTED_MS = 3000.0  # SIGKILL may follow after the longest deadline, counted as this at the most ...
+KILLED_AFTER_MS = 700.0  # ... and so much more
 MARGIN_MS = 200.0  # to be out before it
 TALLY_EVERY_MS = 10_000.0
 
@@ -53,7 +54,7 @@
         enum_conf: config.EnumConfig | None,
         otlp_conf: config.OtlpConfig | None,
     ) -> None:
-        self.enum_conf = enum_conf
+        self.enum_conf, self.otlp_conf = enum_conf, otlp_conf
         self.conf, self.tally, self.clock = conf, Tally(), SystemClock()
         self.draining_ms = 0.0
         self.deadlines = Deadlines(self.clock, reactor)
@@ -92,6 +93,8 @@
 
     def start(self) -> None:
         """Begin to serve; what is known already comes before anything is polled."""
+        # Before listening: a SIGTERM that comes once the front can reach us must drain, not end.
+        signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(self.drain))
         for notice in self.conf.notices:
             self.told(notice)
         host, port = self.conf.listen
@@ -108,7 +111,6 @@
         self.report()
         gc.collect()
         gc.freeze()
-        signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(self.drain))
         log(f"{self.conf.name} serves on {host}:{port}")
 
     def told(self, notice: config.Notice) -> None:
@@ -130,6 +132,34 @@
         log("counts " + " ".join(f"{name}={count}" for name, count in sorted(self.tally.counts.items())))
         self.deadlines.at(self.clock.now_ms() + TALLY_EVERY_MS, self.report)
 
+    def reload(self) -> None:
+        """SIGHUP: take all configuration anew, or none of it and say why."""
+        try:
+            conf = config.reload(self.conf)
+            for key, now, then in (
+                ("enum", config.load_enum(), self.enum_conf),
+                ("otlp", config.load_otlp(), self.otlp_conf),
+            ):
+                if now != then:
+                    raise config.MalformedError(f"{key} can't change without a restart")
+        except config.MalformedError as fault:
+            self.tally.add("reloads.rejected")
+            log(f"keeps its configuration: {fault}")
+            return
+        old, self.conf = self.conf, conf
+        self.tally.add("reloads")
+        if (conf.settings, conf.most_held) != (old.settings, old.most_held):
+            self.engine.adopt(conf.settings, conf.most_held)
+        self.servers.dial_timeout_s = conf.dial_timeout_ms / 1000.0
+        self.clients.most_links = conf.sockets // 2
+        for notice in conf.notices:
+            if notice.rev > self.board.last:
+                self.board.last = notice.rev
+                self.told(notice)
+        if conf.board != old.board:
+            self.board.move(conf.board)
+        log("took its configuration anew")
+
     def drain(self) -> None:
         """SIGTERM: the front is told at its next test; what comes meanwhile is still served."""
         if self.draining_ms:
@@ -142,10 +172,12 @@
         """Exit once all is settled, or shortly before the kill."""
         now_ms = self.clock.now_ms()
         longest_ms = max(kind.deadline_ms for kind in self.conf.settings.classes)
-        last_ms = self.draining_ms + max(longest_ms + 700.0, KILLED_AFTER_MS) - MARGIN_MS
+        last_ms = self.draining_ms + min(longest_ms, LONGEST_COUNTED_MS) + KILLED_AFTER_MS - MARGIN_MS
         held = any(engine.open or engine.standing for engine in self.engines)
         if now_ms >= last_ms or (now_ms >= self.draining_ms + DRAIN_MS and not held):
             self.board.stop()
+            for engine in self.engines:
+                engine.settle()  # guards against what is still open being found unanswered by the kill
             if self.exporter is not None:
                 self.exporter.flush()
             self.report()
@@ -156,6 +188,9 @@
 
 def main() -> int:
     """Run until a SIGTERM has been served; 2 when the configuration makes no sense."""
+    node = None
+    # Hooked first, as a SIGHUP not yet hooked ends the process; one that comes early waits for the reactor.
+    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(lambda: node.reload()))
     try:
         conf, enum_conf, otlp_conf = config.load(), config.load_enum(), config.load_otlp()
     except config.MalformedError as fault:
--- a/leadslip/choice.py
+++ b/leadslip/choice.py
@@ -82,12 +82,9 @@
     """The call control of one gateway; gateways share nothing."""
 
     def __init__(self, settings: face.Settings, seed: int) -> None:
-        _check(settings)
-        self.settings = settings
+        self.quotas: dict[str, float] = {}
+        self.adopt(settings)
         self.random = random.Random(seed)
-        self.classes = {kind.name: kind for kind in settings.classes}
-        self.least_worth = min((kind.worth for kind in settings.classes if kind.worth > 0), default=1.0)
-        self.most_worth = max((kind.worth for kind in settings.classes), default=1.0)
         self.servers: dict[str, _Server] = {}
         self.calls: dict[str, _Call] = {}
         self.listed = False  # a list has been seen
@@ -96,14 +93,23 @@
         self.rates: dict[int, float] = {}  # server number -> calm set-ups a millisecond
         self.offered: dict[int, int] = {}  # first-choice number -> calls offered in this interval
         self.mean_worth = self.least_worth
-        quotas = sum(tenant.quota_per_s for tenant in settings.tenants) or 1.0
-        self.quotas = {tenant.name: tenant.quota_per_s / quotas for tenant in settings.tenants}
-        self.asked = dict(self.quotas)  # the part of the calls that each tenant asks for here
         self.known_ms, self.known_calls = 0.0, 0  # how long, and by how many calls rates have been learned
         self.logged = 0
         self.lost = 0.0  # set-ups lately shown to be lost
         self.actions: list[face.Action] = []
 
+    def adopt(self, settings: face.Settings) -> None:
+        """Take settings, at the start and when they change; what was learned of servers and rates stays."""
+        _check(settings)
+        self.settings = settings
+        self.classes = {kind.name: kind for kind in settings.classes}
+        self.least_worth = min((kind.worth for kind in settings.classes if kind.worth > 0), default=1.0)
+        self.most_worth = max((kind.worth for kind in settings.classes), default=1.0)
+        total = sum(tenant.quota_per_s for tenant in settings.tenants) or 1.0
+        quotas = {tenant.name: tenant.quota_per_s / total for tenant in settings.tenants}
+        if quotas != self.quotas or not quotas:
+            self.quotas, self.asked = quotas, dict(quotas)  # asked: each tenant's part of the calls here
+
     def handle(self, now_ms: float, event: face.Event) -> list[face.Action]:
         """Take one event; the actions hold from now on."""
         self.actions = []
--- a/leadslip/config.py
+++ b/leadslip/config.py
@@ -475,3 +475,12 @@
             if variable in environ:
                 told.setdefault(key, environ[variable])
     return config_of(told)
+
+
+def reload(running: Config, environ: Mapping[str, str] = os.environ) -> Config:
+    """The configuration read anew for a running proxy, which can't change where it listens, nor its name."""
+    conf = load(environ)
+    for key in ("name", "listen"):
+        if getattr(conf, key) != getattr(running, key):
+            raise MalformedError(f"{key} can't change without a restart: {getattr(conf, key)!r}")
+    return conf
--- a/leadslip/core.py
+++ b/leadslip/core.py
@@ -233,6 +233,16 @@
         self.events: deque[face.Event] = deque()
         self.feeding = False
 
+    def adopt(self, settings: face.Settings, most_held: int) -> None:
+        """Take settings that have changed while running; requests already held keep their own deadlines."""
+        self.settings, self.most_held = settings, most_held
+        self.controller.adopt(settings)
+
+    def settle(self) -> None:
+        """Answer all that is open now, since nothing can be answered later."""
+        for request in list(self.open.values()):
+            self._overdue(request)
+
     # What the list says.
 
     def news(self, news: face.ListNews) -> None:
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -273,9 +273,10 @@
             "rev": 1,
             "notices": [notice(1, *((u, a, "active") for u, a in servers.items()), whole=True)],
         }
-        told = {"name": "n0", "listen": f"{HOST}:0", "seed": "5eed", "board": self.board.address}
-        told |= {"known": known, "settings": settings(), "limits": {"sockets": 256}} | more
-        (folder / "config.json").write_text(json.dumps(told))
+        self.folder = folder
+        self.told = {"name": "n0", "listen": f"{HOST}:0", "seed": "5eed", "board": self.board.address}
+        self.told |= {"known": known, "settings": settings(), "limits": {"sockets": 256}} | more
+        self.configure()
         (folder / "enum.toml").write_text(enum or "enabled = false\n")
         environ = {"NODE_CONFIG": str(folder / "config.json"), "LEADSLIP_ENUM": str(folder / "enum.toml")}
         flags = ["-O"] if release else []
@@ -303,6 +304,19 @@
     def _read(self) -> None:
         self.log.extend(self.process.stdout)
 
+    def configure(self, **changes: object) -> None:
+        """Write its configuration, changed so; it is read at a start and on SIGHUP."""
+        (self.folder / "new.json").write_text(json.dumps(self.told | changes))
+        (self.folder / "new.json").replace(self.folder / "config.json")
+
+    def reload(self, **changes: object) -> str:
+        """SIGHUP with a changed configuration; the line logged of it."""
+        self.configure(**changes)
+        before = len(self.log)
+        self.process.send_signal(signal.SIGHUP)
+        wait_for(lambda: any("its configuration" in line for line in self.log[before:]))
+        return next(line for line in self.log[before:] if "its configuration" in line)
+
     def counts(self) -> dict[str, int]:
         """The last counters logged; complete once the program has ended."""
         line = [line for line in self.log if " counts" in line][-1]
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -100,12 +100,12 @@
     heard = []
 
     class Told:
-        alive = staticmethod(lambda: None)
+        alive = staticmethod(lambda poll: True)
         take = staticmethod(lambda id_, data: heard.append((id_, json.loads(data))) or True)
 
     events = [notice(i, ("s1", "127.0.0.1:70", "active")) for i in (4, 5)]
     text = "".join(f": hello\r\nid: {e['rev']}\ndata: {json.dumps(e)}\n\n" for e in events)
-    body = Events(Told)
+    body = Events(Told, 1)
     body.makeConnection(StringTransport())
     feed(body, text.encode(), cuts)
     assert heard == [("4", events[0]), ("5", events[1])]
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -10,8 +10,9 @@
 
 import pytest
 
-from tests.standins import HOST, ROOT, Caller, Program, SetupServer, binary, notice, settings, wait_for
+from tests.standins import HOST, ROOT, Board, Caller, Program, SetupServer, binary, notice, settings, wait_for
 
+LONG = {"name": "plain", "gain": 1.0, "late_worth": 0.2, "aim_ms": 1500.0, "deadline_ms": 30000.0}
 FIRST, SECOND = "9b1f03aa5c7e2d41", "0b1f03aa5c7e2d42"
 
 
@@ -128,6 +129,50 @@
     assert caller.hear()[0].startswith("BYE ") and caller.hear()[0].startswith("BYE ")
 
 
+def test_a_reload_moves_to_the_new_board_and_the_numbering_goes_on(start):
+    program, (first,) = start("answer")
+    second, board = SetupServer("answer"), Board()
+    wait_for(lambda: program.board.polls)
+    board.events += [(1, notice(1)), (2, notice(2, ("s1", second.address, "active")))]
+    assert "took" in program.reload(board=board.address, settings=settings(tick_ms=6.0))
+    wait_for(lambda: second.links)
+    assert board.polls == ["1"] and program.board.polls == ["1"]
+    program.board.events.append((3, notice(3, ("s1", second.address, "left"))))
+    caller = Caller(program)
+    caller.invite(FIRST, dest=0)
+    assert caller.hear()[0] == "SIP/2.0 200 OK"
+
+
+@pytest.mark.parametrize(
+    ("spoil", "key"),
+    [
+        ({"board": "nowhere"}, "board is no address:port"),
+        ({"listen": f"{HOST}:1"}, "listen can't change"),
+        ({"settings": settings(services=[])}, "settings.services is empty"),
+    ],
+)
+def test_a_reload_that_makes_no_sense_changes_nothing_and_names_its_key(start, spoil, key):
+    program, _ = start("answer")
+    board = Board()
+    assert key in program.reload(**({"board": board.address, "limits": {"sockets": 16}} | spoil))
+    caller = Caller(program)
+    caller.invite(FIRST)
+    assert caller.hear()[0] == "SIP/2.0 200 OK"
+    assert not board.polls, "nor is a part of it taken"
+
+
+def test_what_is_open_shortly_before_the_kill_is_answered(start):
+    program, (server,) = start("silent", settings=settings(services=[LONG]))
+    caller = Caller(program)
+    caller.invite(FIRST, expires=9000)
+    wait_for(lambda: server.heard)
+    began = time.monotonic()
+    program.process.terminate()
+    assert caller.hear()[0] == "SIP/2.0 500 Server Internal Error"
+    assert time.monotonic() - began < 9.0, "before the deadline of the call"
+    assert program.stop() == 0
+
+
 def test_garbage_from_one_caller_leaves_the_others_alone(start):
     program, _ = start("answer")
     caller, rude = Caller(program), socket.create_connection(program.listen)
