Drop server connections that are spoilt or dead, and use new ones once they have spoken

A trace of the server connections showed that after one answer of an unknown type (0x7b where 9 was due) a connection stayed open and said nothing for 13 s. Its set-ups timed out, the lines last told stayed at 3, so nothing was sent any more and nothing found out.

At fault in servers.py: an unknown type and unknown causes were skipped; heard_ms was set by any byte, and doubt came only with the end of a set-up after 2 s of silence, when none was out any more; a set-up went on a connection before it had said anything; one dial that came up late cut the standing calls; a release without a connection was dropped. links.py did not bound half a message.

Now: only a whole message counts as heard; half a message may last 300 ms; a set-up unanswered for 400 ms in silence, or 1.5 s of silence under standing calls, dials a second connection, and the old one is closed only when the new one brings an answer first.

Ruled out: that a processor that hangs is cut off by this. Its trace shows state every second and pauses of 4 s; there the new connection brings no answer and nothing is given up.

--- a/leadslip/__main__.py
+++ b/leadslip/__main__.py
@@ -67,7 +67,9 @@
             self.watches = [Watch(self.exporter, "sip", "INVITE"), Watch(self.exporter, "dns", "NAPTR")]
         else:
             self.watches = [None, None]
-        self.servers = Servers(reactor, self.tally, self.clock.now_ms, conf.dial_timeout_ms, self.unknown_end)
+        self.servers = Servers(
+            reactor, self.tally, self.clock.now_ms, conf.dial_timeout_ms, self.unknown_end, self.deadlines
+        )
         self.engine = self.servers.engine = Engine(
             conf.settings,
             conf.seed,
@@ -99,6 +101,7 @@
             self.told(notice)
         host, port = self.conf.listen
         port = reactor.listenTCP(port, self.clients, backlog=512, interface=host).getHost().port
+        self.servers.look()
         self.board.poll()
         if self.exporter is not None:
             self.exporter.start()
--- a/leadslip/net/links.py
+++ b/leadslip/net/links.py
@@ -31,6 +31,7 @@
     peer_kind = "peer"
     now_ms: Callable[[], float]
     stalled_ms = 0.0  # since when the peer has left our bytes unread; 0: it has not
+    partial_ms = 0.0  # since when a message has been unfinished, however much of it comes; 0: none is
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
@@ -46,6 +47,14 @@
     def stopProducing(self) -> None:
         """The transport is closing; connectionLost follows."""
 
+    def left_over(self, tail: bytes, begun: bool) -> bytes:
+        """Keep what is unfinished of a read; `begun` tells that it began in this read."""
+        if not tail:
+            self.partial_ms = 0.0
+        elif begun or not self.partial_ms:
+            self.partial_ms = self.now_ms()
+        return tail
+
     def say(self, *parts: bytes | memoryview) -> bool:
         """Write one message; a peer that has not read for long is cut off, so that buffers stay bounded."""
         if self.stalled_ms and self.now_ms() - self.stalled_ms > STALLED_MS:
@@ -92,7 +101,7 @@
             self._buffer = b""
             self.malformed(fault)
             return
-        self._buffer = data[at:] if at < size else b""
+        self._buffer = self.left_over(data[at:], begun=at > 0)
 
     def body_length(self, head: memoryview) -> int:
         raise NotImplementedError
@@ -124,4 +133,4 @@
             self._unprocessed = b""
             self.malformed(fault)
             return
-        self._unprocessed = data[at:] if at < size else b""
+        self._unprocessed = self.left_over(data[at:], begun=at > 0)
--- a/leadslip/net/servers.py
+++ b/leadslip/net/servers.py
@@ -10,7 +10,7 @@
 from leadslip import interface as face
 from leadslip.checks import Tally
 from leadslip.config import Address, MalformedError, load_named
-from leadslip.core import Attempt, Engine
+from leadslip.core import Attempt, Deadlines, Engine
 from leadslip.net.links import MessageError, SliceReceiver
 
 SET_UP, PROGRESS, ANSWER, RELEASE, RELEASE_HEARD, STATE, TEST, TEST_ENDED = 1, 6, 9, 12, 16, 43, 52, 53
@@ -21,7 +21,9 @@
     47: face.Outcome.ERROR,
     102: face.Outcome.NOT_SENT,
     41: face.Outcome.CUT,
+    16: face.Outcome.ERROR,
 }
+FREE = (PROGRESS, RELEASE_HEARD, TEST_ENDED)  # they mean nothing
 NOTES = {
     b"no_circuit": face.Cause.NO_LINE,
     b"turned_back": face.Cause.BOUNCED,
@@ -33,9 +35,13 @@
 PARAMETER = struct.Struct("!BH")  # code, length
 NORMAL, CUT = 16, 41
 RECENT_MS = 30_000.0  # for so long the end of a call that was held here may be told again
-SILENT_MS = (
-    2000.0  # for so long a connection with set-ups timing out may say nothing before another is dialled
-)
+PARTIAL_MS = 300.0  # for so long a message may be unfinished: a whole one takes a few ms to come
+UNANSWERED_MS = 400.0  # a set-up out for so long on a connection that says nothing puts it in doubt ...
+SILENT_MS = 1500.0  # ... and so does saying nothing at all for so long while calls stand
+GONE_MS = 2000.0  # a server not heard for so long, to which no connection comes up, has vanished
+UP_MS = 200.0  # a new connection says something first; one that does not is used after so long all the same
+DIALS = 3  # new connections in a row that may be reset before what waits for one is sent elsewhere
+LOOK_MS = 100.0  # between two looks at all connections
 
 
 def parameters(view: memoryview, at: int) -> dict[int, memoryview]:
@@ -66,7 +72,8 @@
 
     def __init__(self, server: Server) -> None:
         self.server, self.tally, self.now_ms = server, server.far.tally, server.far.now_ms
-        self.heard_ms = self.now_ms()
+        self.opened_ms = self.heard_ms = self.now_ms()
+        self.set_ups: dict[bytes, Attempt] = {}  # out on this connection, oldest first
 
     def connectionMade(self) -> None:
         super().connectionMade()
@@ -75,9 +82,14 @@
     def connectionLost(self, reason: object = None) -> None:
         self.server.lost(self)
 
-    def dataReceived(self, data: bytes) -> None:
-        self.heard_ms = self.now_ms()
-        super().dataReceived(data)
+    def malformed(self, fault: MessageError) -> None:
+        super().malformed(fault)
+        self.server.lost(self)
+
+    def abort(self) -> None:
+        """Close without waiting; known at once, so that nothing more is sent on it."""
+        self.transport.abortConnection()
+        self.server.lost(self)
 
     def stringReceived(self, view: memoryview) -> None:
         if len(view) < 9:
@@ -85,17 +97,25 @@
         kind, call = view[0], bytes(view[1:9])
         told = parameters(view, 9)
         load = self.server.far.load_of(told.get(REPORT))
+        # Only a whole message that can be read counts as heard: noise must not pass for a live connection.
+        self.heard_ms = self.now_ms()
+        self.server.heard(self)
         if kind == ANSWER:
-            self.server.answered(call, told.get(DESCRIPTION, b""))
+            if DESCRIPTION not in told:
+                raise MessageError("description")
+            self.server.answered(call, told[DESCRIPTION])
         elif kind == RELEASE:
             cause = told.get(CAUSE)
-            if cause is None or len(cause) != 1:
+            if cause is None or len(cause) != 1 or cause[0] not in ENDS:
                 raise MessageError("cause")
             self.server.released(call, cause[0], NOTES.get(bytes(told.get(NOTE, b"")), face.Cause.NONE), load)
         elif kind == STATE and load is not None:
             self.server.far.engine.looked(self.server.uid, load)
         elif kind == TEST:
             self.say(message(TEST_ENDED, call, (CAUSE, b"\x01")))
+        elif kind not in FREE:
+            # A type that does not exist is an answer spoilt: what follows on the connection is lost too.
+            raise MessageError("type")
 
 
 class ServerLinks(protocol.ClientFactory):
@@ -120,11 +140,16 @@
         self, far: Servers, uid: str, address: Address, state: face.ServerState, since: float
     ) -> None:
         self.far, self.uid, self.address, self.state, self.since = far, uid, address, state, since
-        self.link: ServerLink | None = None
-        self.old: ServerLink | None = None  # a silent connection that another has taken the place of
+        self.link: ServerLink | None = None  # takes new set-ups
+        self.new: ServerLink | None = None  # has come up and said nothing yet
+        self.old: ServerLink | None = None  # in doubt; another has taken its place
         self.dialling = False
+        self.resets = 0  # new connections in a row that were lost before they said anything
+        self.heard_ms = far.now_ms()
         self.waiting: dict[bytes, Attempt] = {}  # set-ups that wait for a connection
         self.calls: dict[bytes, Attempt] = {}  # set-ups out, and calls that stand
+        self.out: dict[bytes, ServerLink] = {}  # set-ups out -> their connection
+        self.unsaid: list[bytes] = []  # releases that wait for a connection
         self.links = ServerLinks(self)
 
     # What the engine asks.
@@ -135,16 +160,17 @@
             self.waiting[call] = attempt
             self.dial()
             return None
-        return self._set_up(call, attempt)
+        return self._set_up(self.link, call, attempt)
 
-    def _set_up(self, call: bytes, attempt: Attempt) -> face.Outcome | None:
+    def _set_up(self, link: ServerLink, call: bytes, attempt: Attempt) -> face.Outcome | None:
         request, far = attempt.request, self.far
-        if self.link.stalled_ms:
+        if link.stalled_ms:
             # A machine that is cut off reads nothing: what it can't take must not pile up here.
             return face.Outcome.NO_CONNECTION
         left_ms = max(1, int(attempt.cut_at_ms - far.now_ms()))
-        self.calls[call] = attempt
-        self.link.say(
+        self.calls[call] = link.set_ups[call] = attempt
+        self.out[call] = link
+        link.say(
             message(
                 SET_UP,
                 call,
@@ -159,9 +185,15 @@
     def end(self, attempt: Attempt) -> None:
         """Give a set-up up, or release a call that stands: cause 16 either way."""
         call = bytes.fromhex(attempt.request.id)
-        if self.waiting.pop(call, None) is None and self._drop(call) is not None and self.link:
-            self.link.say(message(RELEASE, call, (CAUSE, bytes((NORMAL,)))))
-            self._doubt()
+        if self.waiting.pop(call, None) is None:
+            on = self.out.get(call)
+            if self._drop(call) is not None:
+                told = message(RELEASE, call, (CAUSE, bytes((NORMAL,))))
+                if on is None and self.link is None:
+                    self.unsaid.append(told)  # else the call would stand on at the server
+                    self.dial()
+                else:
+                    (on or self.link).say(told)
         self.far.tidy(self)
 
     def _drop(self, call: bytes) -> Attempt | None:
@@ -169,38 +201,62 @@
         attempt = self.calls.pop(call, None)
         if attempt is not None:
             self.far.remember(call)
+            self._answered(call)
         return attempt
 
-    def _doubt(self) -> None:
-        """Dial anew where a connection has been silent for long: a vanished machine never says so.
-
-        Guards against calls that stand for ever at a machine that is gone, since open connections to it stay
-        open; a processor that only hangs accepts the new connection, and nothing is lost.
-        """
-        if self.link is not None and self.far.now_ms() - self.link.heard_ms > SILENT_MS:
-            self.far.tally.add("servers.silent")
-            self.dial()
+    def _answered(self, call: bytes) -> ServerLink | None:
+        """A set-up is no longer out; the connection it was out on."""
+        on = self.out.pop(call, None)
+        if on is not None:
+            on.set_ups.pop(call, None)
+            if on is self.old and not on.set_ups:
+                on.transport.loseConnection()  # nothing more is due on it
+        return on
 
     # Connections.
 
     def dial(self) -> None:
-        if self.dialling:
+        if self.dialling or self.new is not None or self.state is face.ServerState.GONE:
             return
         self.dialling = True
         host, port = self.address
         self.far.reactor.connectTCP(host, port, self.links, timeout=self.far.dial_timeout_s)
 
     def connected(self, link: ServerLink) -> None:
+        """A connection is up; it takes set-ups once it has said something, as servers do first of all.
+
+        Guards against set-ups that are lost, and have to wait, on a connection that is reset when new.
+        """
         self.dialling = False
+        if self.state is face.ServerState.GONE:
+            link.transport.abortConnection()  # another may listen there by now: nothing of ours stands there
+            self.cut()
+        else:
+            self.new = link
+
+    def heard(self, link: ServerLink) -> None:
+        self.heard_ms = link.heard_ms
+        if link is self.new:
+            self.resets = 0
+            self._use(link)
+
+    def _use(self, link: ServerLink) -> None:
+        """Send on this connection from now on; the one before it may still bring what is out on it."""
+        self.new = None
         if self.old is not None:
-            self.old.transport.abortConnection()
+            self.old.abort()
         self.old, self.link = self.link, link
+        if self.old is not None and not self.old.set_ups:
+            self.old.transport.loseConnection()
+        unsaid, self.unsaid = self.unsaid, []
+        for told in unsaid:
+            link.say(told)
         waiting, self.waiting = self.waiting, {}
         for call, attempt in waiting.items():
             if not self.far.engine.sent_to(self.uid):
                 outcome = face.Outcome.NO_CONNECTION  # told to drain while the connection came up
             else:
-                outcome = self._set_up(call, attempt)
+                outcome = self._set_up(link, call, attempt)
             if outcome is not None:
                 self.far.engine.ended(attempt, outcome)
         self.far.tidy(self)
@@ -208,43 +264,91 @@
     def dial_failed(self, refused: bool) -> None:
         self.dialling = False
         self.far.tally.add("servers.refused" if refused else "servers.unreachable")
+        self._nothing_sent()
+        silent = self.far.now_ms() - self.heard_ms > GONE_MS
+        if silent or (refused and self.link is None):
+            # The process is gone and has cut its calls, or its machine has vanished: no connection tells.
+            self.cut()
+        self.far.tidy(self)
+
+    def _nothing_sent(self) -> None:
+        """No connection came up: what waits for one goes elsewhere."""
         waiting, self.waiting = self.waiting, {}
         for attempt in waiting.values():
             self.far.engine.ended(attempt, face.Outcome.NO_CONNECTION)
-        if self.link is not None:
-            # Silent, and no other connection comes up: the machine has vanished.
-            link, self.link = self.link, None
-            link.transport.abortConnection()
-            self.cut(standing=False)
-        # A process that is gone has cut its calls, and no connection will come up to tell of it.
-        self.cut(standing=True)
-        self.far.tidy(self)
 
     def lost(self, link: ServerLink) -> None:
         """A connection has gone: the set-ups open on it may have run; calls that stand may stand on."""
-        if self.old is link:
+        if link is self.new:
+            self.new = None
+            self.resets += 1
+            if self.resets >= DIALS:
+                self.resets = 0
+                self._nothing_sent()
+            else:
+                self.dial()
+        if link is self.old:
             self.old = None
-        if self.link is not link:
-            return
-        self.link = None
-        self.cut(standing=False)
-        if self.calls and self.state is not face.ServerState.GONE:
+        if link is self.link:
+            self.link = None
+            # At once: the server tells on the next connection what the lost one may have swallowed.
             self.dial()
-        elif self.calls:
-            self.cut(standing=True)
+        for call, attempt in list(link.set_ups.items()):
+            self._drop(call)
+            self.far.engine.ended(attempt, face.Outcome.CUT)
+        if self.state is face.ServerState.GONE and self.link is None:
+            self.cut()
         self.far.tidy(self)
 
-    def cut(self, standing: bool) -> None:
-        """End the set-ups that are out, or the calls that stand, as cut."""
+    def cut(self) -> None:
+        """End all that is out or stands here as cut."""
+        links, self.link, self.new, self.old = (self.link, self.new, self.old), None, None, None
+        self.unsaid.clear()
+        for link in links:
+            if link is not None:
+                link.abort()
         for call, attempt in list(self.calls.items()):
-            if attempt.stands is standing and self._drop(call) is not None:
+            if self._drop(call) is not None:
                 self.far.engine.ended(attempt, face.Outcome.CUT)
 
+    def look(self, now_ms: float) -> None:
+        """Close what will bring nothing more, and dial anew past a connection in doubt.
+
+        Guards against a connection that stays open but dead, behind half a message or in silence: its set-ups
+        would time out and the ends of its calls would never be heard. A processor that hangs looks alike;
+        there the new connection says no more, and nothing is given up.
+        """
+        for link in (self.link, self.new, self.old):
+            if link is not None and link.partial_ms and now_ms - link.partial_ms > PARTIAL_MS:
+                link.malformed(MessageError("unfinished"))
+        if self.state is face.ServerState.GONE:
+            if now_ms - self.heard_ms > GONE_MS:
+                self.cut()
+                self.far.tidy(self)
+            return
+        if self.new is not None and now_ms - self.new.opened_ms > UP_MS:
+            self._use(self.new)
+        link = self.link
+        if link is None:
+            if self.calls or self.unsaid:
+                self.dial()
+            return
+        oldest = next(iter(link.set_ups.values()), None)
+        quiet_ms = now_ms - link.heard_ms
+        doubt = oldest is not None and min(quiet_ms, now_ms - oldest.sent_ms) > UNANSWERED_MS
+        doubt = doubt or (bool(self.calls) and quiet_ms > SILENT_MS)
+        if doubt and not self.dialling and self.new is None and self.old is None:
+            self.far.tally.add("servers.silent")
+            self.dial()
+
     # What the server says.
 
-    def answered(self, call: bytes, description: memoryview | bytes) -> None:
+    def answered(self, call: bytes, description: memoryview) -> None:
         attempt = self.calls.get(call)
         if attempt is not None:
+            on, old = self._answered(call), self.old
+            if on is not None and on is self.link and old is not None and old.heard_ms < on.opened_ms:
+                old.abort()  # silent while the newer one brings answers: dead, and its set-ups can go again
             self.far.engine.stood(attempt, description)
 
     def released(self, call: bytes, cause: int, note: face.Cause, load: face.Load | None) -> None:
@@ -256,7 +360,7 @@
             outcome = face.Outcome.SERVED if cause == NORMAL else face.Outcome.CUT
             self.far.engine.ended(attempt, outcome, load=load)
         else:
-            self.far.engine.ended(attempt, ENDS.get(cause, face.Outcome.ERROR), note, load)
+            self.far.engine.ended(attempt, ENDS[cause], note, load)
 
 
 class Servers:
@@ -271,10 +375,11 @@
         now_ms: Callable[[], float],
         dial_timeout_ms: float,
         unknown_end: Callable[[bytes, bool], None],
+        deadlines: Deadlines,
     ) -> None:
         self.reactor, self.tally, self.now_ms = reactor, tally, now_ms
         self.dial_timeout_s = dial_timeout_ms / 1000.0
-        self.unknown_end = unknown_end
+        self.unknown_end, self.deadlines = unknown_end, deadlines
         self.servers: dict[str, Server] = {}
         self.recent: dict[bytes, float] = {}  # calls lately over here -> when, oldest first
 
@@ -288,7 +393,8 @@
             if held is not None and (
                 entry.online_since_ms > held.since or held.address != addresses[entry.server]
             ):
-                self._gone(held)  # the same id, but another process: what stood at the old one is cut
+                self._gone(held)
+                held.cut()  # the same id, but another process: what stood at the old one is cut
                 held = None
             if entry.state is face.ServerState.GONE:
                 if held is not None:
@@ -306,14 +412,21 @@
         waiting, server.waiting = server.waiting, {}
         for attempt in waiting.values():
             self.engine.ended(attempt, face.Outcome.NO_CONNECTION)
-        if server.link is None and not server.dialling:
-            server.cut(standing=True)
+        if server.link is None:
+            server.cut()
         self.tidy(server)
 
+    def look(self, _: object = None) -> None:
+        """Look at all connections, again and again."""
+        now_ms = self.now_ms()
+        for server in list(self.servers.values()):
+            server.look(now_ms)
+        self.deadlines.at(now_ms + LOOK_MS, self.look)
+
     def tidy(self, server: Server) -> None:
         """A server that has left is forgotten once nothing is open there."""
         if server.state is face.ServerState.GONE and not server.calls:
-            for link in (server.link, server.old):
+            for link in (server.link, server.new, server.old):
                 if link is not None:
                     link.transport.loseConnection()
             if self.servers.get(server.uid) is server:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -50,7 +50,7 @@
         self.told.append(("over", request.id, cut))
 
     def offer(self, id_="a", left_ms=2000.0, to=0):
-        request = core.Request(id_, PLAIN, self.now_ms() + left_ms, self)
+        request = core.Request(id_, PLAIN, self.now_ms() + left_ms, self, b"c=offer")
         request.destination = to
         self.engine.offer(request)
         return request
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -10,7 +10,6 @@
 
 from leadslip import interface as face
 from leadslip.checks import Tally
-from leadslip.core import Attempt
 from leadslip.net.board import Events
 from leadslip.net.clients import Clients
 from leadslip.net.links import MAX_MESSAGE
@@ -52,13 +51,32 @@
     return world, link
 
 
+class Dials(list):
+    """A reactor that only remembers whom it was asked to connect."""
+
+    def connectTCP(self, host, port, factory, timeout):  # noqa: N802
+        self.append(factory)
+
+
 def server_link():
     world = World()
-    far = Servers(None, world.tally, world.now_ms, 500.0, lambda call, cause: None)
-    far.engine = world.engine
-    link = ServerLink(Server(far, "s0", ("127.0.0.1", 1), face.ServerState.READY, 0.0))
+    far = Servers(Dials(), world.tally, world.now_ms, 500.0, lambda call, cause: None, world.deadlines)
+    world.engine.far_side, far.engine = far, world.engine
+    server = far.servers["s0"] = Server(far, "s0", ("127.0.0.1", 1), face.ServerState.READY, 0.0)
+    far.look()
+    return world, up(server)
+
+
+def up(server):
+    link = ServerLink(server)
     link.makeConnection(Transport())
-    return world, link
+    link.dataReceived(binary(43, bytes(8), (51, b"x0:50;x1:50")))
+    return link
+
+
+def sent(link):
+    """The set-ups written on a connection."""
+    return link.transport.value().count(b"c=offer")
 
 
 def feed(link, data, cuts):
@@ -83,12 +101,9 @@
 @given(some.lists(some.integers(0, 200), max_size=12))
 def test_the_binary_wire_reads_the_same_however_it_is_cut(cuts):
     world, link = server_link()
-    attempt = Attempt(world.offer(ID), "s0", 0, world.now_ms(), world.now_ms() + 900)
-    world.sent[0].out = False
-    attempt.request.attempt = attempt
+    world.offer(ID)
     call = bytes.fromhex(ID)
-    link.server.calls[call] = attempt
-    told = binary(43, bytes(8), (51, b"x0:4;x1:9;odd:1")) + binary(6, call) + binary(77, call, (1, b"?"))
+    told = binary(43, bytes(8), (51, b"x0:4;x1:9;odd:1")) + binary(6, call) + binary(16, call, (1, b"?"))
     feed(link, told + binary(9, call, (63, b"\0sdp")) + binary(12, call, (61, b"\x10"), (99, b"odd")), cuts)
     assert world.told == [("stands", ID, b"\0sdp"), ("over", ID, False)]
     assert world.engine.controller.servers["s0"].free_lines == 4.0
@@ -156,6 +171,9 @@
         binary(12, bytes(8)),
         binary(12, bytes(8), (61, b"16")),
         binary(43, bytes(8), (51, b"x0:many")),
+        binary(123, bytes(8), (63, b"x")),
+        binary(9, bytes(8)),
+        binary(12, bytes(8), (61, b"\x91")),
     ],
 )
 def test_a_malformed_message_from_a_server_is_counted_and_closes_that_connection(data):
@@ -164,6 +182,60 @@
     assert link.transport.disconnecting and world.tally.counts["servers.malformed"] == 1
 
 
+@pytest.mark.parametrize("tail", [b"\0\x40\x09", b"\x30"])
+def test_half_a_message_does_not_keep_a_connection_however_much_comes_of_it(tail):
+    world, link = server_link()
+    world.offer(ID)
+    assert sent(link) == 1
+    link.dataReceived(tail)
+    for _ in range(4):
+        world.wait(100)
+        link.dataReceived(b"x")
+    world.wait(100)
+    assert link.transport.disconnecting and world.tally.counts["attempts.cut"] == 1
+    assert len(link.server.far.reactor) == 1, "another is dialled at once"
+    world.wait(300)
+    again = up(link.server)
+    assert world.tally.counts["attempts.cut"] == 1 and not again.transport.disconnecting
+
+
+def test_a_connection_that_stays_open_but_dead_is_left_for_a_new_one():
+    world, link = server_link()
+    world.offer(ID)
+    world.wait(510)
+    assert len(link.server.far.reactor) == 1
+    newer = up(link.server)
+    assert not link.transport.disconnecting, "a processor that hangs looks alike"
+    second = "0" * 16
+    world.offer(second)
+    assert (sent(link), sent(newer)) == (1, 1)
+    newer.dataReceived(binary(9, bytes(8), (63, b"sdp")))
+    assert link.transport.disconnecting and world.tally.counts["attempts.cut"] == 1
+    assert world.told == [("stands", second, b"sdp")]
+
+
+def test_a_connection_reset_when_new_costs_no_set_up():
+    world, link = server_link()
+    link.connectionLost()
+    world.offer(ID)
+    reset = ServerLink(link.server)
+    reset.makeConnection(Transport())
+    reset.connectionLost()
+    assert not world.tally.counts["attempts.cut"] and len(link.server.far.reactor) == 2
+    assert sent(up(link.server)) == 1
+
+
+def test_a_release_waits_for_a_connection_and_calls_outlive_one_that_fails():
+    world, link = server_link()
+    request = world.offer(ID)
+    link.dataReceived(binary(9, bytes.fromhex(ID), (63, b"sdp")))
+    link.connectionLost()
+    link.server.dial_failed(refused=False)
+    world.engine.hang_up(request)
+    assert world.told == [("stands", ID, b"sdp")], "one that does not come up in time proves nothing"
+    assert binary(12, bytes.fromhex(ID), (61, b"\x10")) in up(link.server).transport.value()
+
+
 def test_a_peer_that_reads_nothing_is_cut_off():
     world, link = caller()
     link.pauseProducing()
