Bound silence, half messages and numbers of accepted connections; read SIP lengths strictly

At fault: CallerLink.body_length took any unusual Content-Length for 0, so that a body was read as the next message after its set-up had been sent on; invite() dropped a set-up under an open id in silence; cancel() took any connection's CANCEL; buildProtocol refused whoever came last; nothing ended silence or half a message.

Now, for callers and for ENUM askers alike: the first message is due in 2 s, half a message lasts 2 s, 15 s with nothing due ends a connection, and at the limit those not heard yet go first, then the idle. Set-ups are offered when their read is done, so one withdrawn or followed by garbage in it goes nowhere. Figures out of range and an id twice close the connection; CANCEL and BYE of unknown calls are told 481.

--- a/leadslip/__main__.py
+++ b/leadslip/__main__.py
@@ -45,6 +45,11 @@
     print(f"{time.time():.3f} {text}", flush=True)
 
 
+def most_links(conf: config.Config) -> int:
+    """Connections taken from callers, who hold a third of the descriptors; the rest are for servers."""
+    return conf.sockets * 5 // 8
+
+
 class Node:
     """The parts of one proxy and their life."""
 
@@ -82,7 +87,7 @@
             self.watches[0],
         )
         self.engines = [self.engine]
-        self.clients = Clients(self.engine, self.tally, conf.sockets // 2, self.ready)
+        self.clients = Clients(self.engine, self.tally, most_links(conf), self.ready)
         self.board = Board(
             reactor,
             self.deadlines,
@@ -154,7 +159,7 @@
         if (conf.settings, conf.most_held) != (old.settings, old.most_held):
             self.engine.adopt(conf.settings, conf.most_held)
         self.servers.dial_timeout_s = conf.dial_timeout_ms / 1000.0
-        self.clients.most_links = conf.sockets // 2
+        self.clients.accepted.most = most_links(conf)
         for notice in conf.notices:
             if notice.rev > self.board.last:
                 self.board.last = notice.rev
--- a/leadslip/net/clients.py
+++ b/leadslip/net/clients.py
@@ -10,40 +10,65 @@
 
 from leadslip.checks import Tally
 from leadslip.core import Engine, Request, State
-from leadslip.net.links import HeadReceiver, MessageError
+from leadslip.net.links import AcceptedLink, AcceptedLinks, HeadReceiver, MessageError
 
 HEADER = re.compile(rb"([!-9;-~]+)[ \t]*:[ \t]*([^\r\n]*)\r\n")
 START = re.compile(
     rb"(?:([A-Z]+) sip:([^\s@>]*)(?:@[^\s]*)? SIP/2\.0|SIP/2\.0 ([1-6][0-9][0-9])(?: [^\r\n]*)?)\r\n"
 )
 CALL_ID = re.compile(rb"[0-9a-fA-F]{16}")
-LENGTH = re.compile(rb"\r\n(?:Content-Length|l)[ \t]*:[ \t]*([0-9]{1,9})[ \t]*\r\n", re.IGNORECASE)
+LENGTH = re.compile(rb"\r\n(?:Content-Length|l)[ \t]*:[ \t]*([^\r\n]*)", re.IGNORECASE)
+DIGITS = re.compile(rb"[0-9]{1,9}[ \t]*")
 ECHOED = (b"via", b"from", b"to", b"call-id", b"cseq")
 BYE_FOR_MS = 8000.0  # for so long the end of a call is offered to connections that open
 CAUSE_NORMAL, CAUSE_CUT = 16, 41
 
 
-class CallerLink(HeadReceiver):
+LONGEST_WAIT = 10.0  # longest deadlines that a caller may say it waits; more is no figure to go by
+MOST_LINES = 1000.0  # that a call may take
+
+
+class CallerLink(AcceptedLink, HeadReceiver):
     """One connection from callers; it owns the set-ups that came on it, and no standing call."""
 
     peer_kind = "clients"
 
     def __init__(self, front: Clients) -> None:
         self.front, self.tally, self.now_ms = front, front.tally, front.engine.clock.now_ms
-        self.set_ups: dict[str, Request] = {}
+        self.accepted = front.accepted
+        self.set_ups: dict[str, Request] = {}  # open, and owed an answer here
+        self.fresh: dict[str, Request] = {}  # those of this read, not offered yet
 
     def connectionMade(self) -> None:
         super().connectionMade()
         self.front.opened(self)
 
-    def connectionLost(self, reason: object = None) -> None:
+    def busy(self) -> bool:
+        return bool(self.set_ups)
+
+    def left(self) -> None:
         self.front.closed(self)
 
+    def malformed(self, fault: MessageError) -> None:
+        super().malformed(fault)
+        self.accepted.remove(self)
+
     def body_length(self, head: memoryview) -> int:
-        found = LENGTH.search(head)
-        return int(found.group(1)) if found else 0
+        """The length told, once and in digits: a guess would take a body for the next message."""
+        told = LENGTH.findall(head)
+        if len(told) != 1 or not DIGITS.fullmatch(told[0]):
+            raise MessageError("Content-Length")
+        return int(told[0])
+
+    def readEnded(self) -> None:
+        # Offered only now. Guards against servers working on set-ups withdrawn in the same breath, or
+        # followed by what can't be read.
+        fresh, self.fresh = self.fresh, {}
+        for request in fresh.values():
+            self.front.engine.offer(request)
 
     def messageReceived(self, head: memoryview, body: memoryview) -> None:
+        self.heard()
         start = START.match(head)
         if start is None:
             raise MessageError("start line")
@@ -73,6 +98,8 @@
     def invite(self, number: bytes, headers: dict[bytes, bytes], body: memoryview) -> None:
         front, now_ms = self.front, self.now_ms()
         expires_ms = decimal(headers.get(b"expires-ms"), "Expires-Ms")
+        if expires_ms > LONGEST_WAIT * max(kind.deadline_ms for kind in front.engine.settings.classes):
+            raise MessageError("Expires-Ms")
         # Expires-Ms is a span from the sending of the set-up; rules go by Unix time: converted here only.
         request = Request(
             call_id(headers),
@@ -88,25 +115,31 @@
                 request.destination = int(signed(value, "dest"))
             elif name == b"width":
                 request.lines = signed(value, "width")
+                if not 0 < request.lines <= MOST_LINES:
+                    raise MessageError("width")
             elif name == b"again":
                 request.cut_before = value == b"1"
         request.redialled = headers.get(b"p-repeat") == b"1"
         request.context = (self, echo(headers))
         if request.id in self.set_ups:
-            return  # the same set-up sent again while it is open
-        self.set_ups[request.id] = request
-        front.engine.offer(request)
+            # Two set-ups under one id can't both be answered, nor can one answer be told to be this one's.
+            raise MessageError("Call-ID twice")
+        self.set_ups[request.id] = self.fresh[request.id] = request
 
     def cancel(self, number: bytes, headers: dict[bytes, bytes], body: memoryview) -> None:
-        self.reply(b"200 OK", headers)
-        request = self.front.engine.open.get(call_id(headers))
-        if request is not None:
+        # Only what came here: a stranger must not withdraw the set-ups of others.
+        request = self.set_ups.get(call_id(headers))
+        self.reply(b"200 OK" if request else UNKNOWN, headers)
+        if request is not None and self.fresh.pop(request.id, None) is not None:
+            del self.set_ups[request.id]
+        elif request is not None:
             self.front.cancelled(request)
 
     def bye(self, number: bytes, headers: dict[bytes, bytes], body: memoryview) -> None:
         request = self.front.engine.standing.get(call_id(headers))
-        # A call of which nothing is held may have crossed our own release: it is over either way.
-        self.reply(b"200 OK", headers)
+        # A release may have crossed our own, which is kept until it is heard.
+        known = request is not None or call_id(headers) in self.front.byes
+        self.reply(b"200 OK" if known else UNKNOWN, headers)
         if request is not None:
             self.front.engine.hang_up(request)
 
@@ -120,6 +153,7 @@
         self.say(b"SIP/2.0 ", status, b"\r\n", echo(headers), b"Content-Length: 0\r\n\r\n")
 
 
+UNKNOWN = b"481 Call/Transaction Does Not Exist"
 METHODS = {
     b"INVITE": CallerLink.invite,
     b"ACK": CallerLink.ack,
@@ -165,25 +199,25 @@
     noisy = False
 
     def __init__(self, engine: Engine, tally: Tally, most_links: int, ready: Callable[[], bool]) -> None:
-        self.engine, self.tally, self.most_links, self.ready = engine, tally, most_links, ready
-        self.links: OrderedDict[CallerLink, None] = OrderedDict()
+        self.engine, self.tally, self.ready = engine, tally, ready
+        self.accepted = AcceptedLinks(tally, "clients", most_links, engine.deadlines)
+        self.links = self.accepted.held
+        self.unsaid: dict[str, None] = {}  # releases that wait for a connection
         self.byes: OrderedDict[str, tuple[float, CallerLink | None, bytes]] = OrderedDict()
 
     def buildProtocol(self, addr: object) -> CallerLink | None:
-        if len(self.links) >= self.most_links:
-            self.tally.add("clients.over_limit")
-            return None
-        return CallerLink(self)
+        return CallerLink(self) if self.accepted.room() else None
 
     def opened(self, link: CallerLink) -> None:
-        self.links[link] = None
-        for id_, (ended_ms, on, _) in list(self.byes.items()):
-            if on is None:
-                self._release(id_, ended_ms, link)
+        self._prune()
+        for id_ in list(self.unsaid):
+            self._release(id_, self.byes[id_][0], link)
 
     def closed(self, link: CallerLink) -> None:
         """A connection has gone: its set-ups are given up, its unheard releases go elsewhere."""
-        self.links.pop(link, None)
+        for id_ in link.fresh:
+            del link.set_ups[id_]  # never offered
+        link.fresh = {}
         for request in list(link.set_ups.values()):
             self.cancelled(request)
         self._prune()
@@ -227,17 +261,22 @@
 
     def heard(self, id_: str) -> None:
         self.byes.pop(id_, None)
+        self.unsaid.pop(id_, None)
 
     def _release(self, id_: str, ended_ms: float, link: CallerLink | None) -> None:
         message = self.byes[id_][2]
         sent = link is not None and link.say(message)
         self.byes[id_] = (ended_ms, link if sent else None, message)
+        if sent:
+            self.unsaid.pop(id_, None)
+        else:
+            self.unsaid[id_] = None
 
     def _prune(self) -> None:
         """Releases that nobody need hear any more are forgotten, oldest first."""
         oldest_ms = self.engine.clock.now_ms() - BYE_FOR_MS
         while self.byes and next(iter(self.byes.values()))[0] < oldest_ms:
-            self.byes.popitem(last=False)
+            self.unsaid.pop(self.byes.popitem(last=False)[0], None)
 
     def _answer(self, request: Request, start: bytes, *rest: bytes | memoryview) -> None:
         link, echoed = request.context
--- a/leadslip/net/enum.py
+++ b/leadslip/net/enum.py
@@ -18,7 +18,7 @@
 from leadslip.checks import Tally
 from leadslip.config import Address, EnumConfig
 from leadslip.core import Attempt, Deadlines, Engine, Request, Watcher
-from leadslip.net.links import MessageError, SliceReceiver
+from leadslip.net.links import AcceptedLink, AcceptedLinks, MessageError, SliceReceiver
 
 HEADER = struct.Struct("!HBBHHHH")
 RESPONSE, AUTHORITATIVE, TRUNCATED, RECURSION_WANTED = 0x80, 0x04, 0x02, 0x01  # in the third byte
@@ -170,7 +170,7 @@
         request.context.say(answer)
 
 
-class EnumLink(SliceReceiver):
+class EnumLink(AcceptedLink, SliceReceiver):
     """One connection from an asker."""
 
     peer_kind = "enum_askers"
@@ -178,29 +178,31 @@
     def __init__(self, links: EnumLinks) -> None:
         self.links, self.front, self.tally = links, links.front, links.front.tally
         self.now_ms = links.front.deadlines.clock.now_ms
+        self.accepted = links.accepted
         self.requests: dict[str, Request] = {}
-        self.open = True
 
-    def connectionMade(self) -> None:
-        super().connectionMade()
-        self.links.open.add(self)
+    def busy(self) -> bool:
+        return bool(self.requests)
 
-    def connectionLost(self, reason: object = None) -> None:
-        self.open = False
-        self.links.open.discard(self)
+    def left(self) -> None:
         for request in self.requests.values():
             self.front.gone(request)
 
+    def malformed(self, fault: MessageError) -> None:
+        super().malformed(fault)
+        self.accepted.remove(self)
+
     def stringReceived(self, view: memoryview) -> None:
         answered: list[str] = []
 
         def say(answer: bytes) -> None:
             answered.append("")
-            if self.open:
+            if self in self.accepted.held:
                 self.say(struct.pack("!H", len(answer)), answer)
             if request is not None:
                 self.requests.pop(request.id, None)
 
+        self.heard()
         request: Request | None = None
         request = self.front.take(bytes(view), say, self, 0xFFFF)  # the codec wants bytes
         if request is not None and not answered:
@@ -213,14 +215,11 @@
     noisy = False
 
     def __init__(self, front: EnumFront, most: int) -> None:
-        self.front, self.most = front, most
-        self.open: set[EnumLink] = set()
+        self.front = front
+        self.accepted = AcceptedLinks(front.tally, "enum_askers", most, front.deadlines)
 
     def buildProtocol(self, addr: object) -> EnumLink | None:
-        if len(self.open) >= self.most:
-            self.front.tally.add("enum_askers.over_limit")
-            return None
-        return EnumLink(self)
+        return EnumLink(self) if self.accepted.room() else None
 
 
 class ResolverLink(SliceReceiver):
@@ -344,6 +343,11 @@
 
     def _ask_over_tcp(self, id_: int) -> None:
         self.far.tally.add("enum_resolvers.truncated")
+        link = self.link
+        if link is not None and link.partial_ms and link.now_ms() - link.partial_ms > self.far.attempt_ms:
+            # Half a reply that never ends would hold up all that come after it.
+            link.malformed(MessageError("unfinished"))
+            self.lost(link)
         if self.link is not None:
             self.link.say(struct.pack("!H", len(self.over_tcp[id_])), self.over_tcp[id_])
         elif not self.dialling:
--- a/leadslip/net/links.py
+++ b/leadslip/net/links.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import struct
+from collections import OrderedDict
 from collections.abc import Callable
 
 from twisted.internet import interfaces
@@ -14,8 +15,12 @@
 from zope.interface import implementer
 
 from leadslip.checks import Tally
+from leadslip.core import Deadlines
 
 MAX_MESSAGE = 16 * 1024  # bytes of one message; the protocol's cap
+FIRST_MS = 2000.0  # in so long a peer has to bring its first message, and to finish any
+IDLE_MS = 15_000.0  # for so long a connection may stay open with nothing due on it
+LOOK_MS = 200.0  # between two looks at the connections taken
 STALLED_MS = 2000.0  # for so long a peer may leave what we wrote unread
 
 
@@ -69,6 +74,87 @@
         self.transport.abortConnection()
 
 
+class AcceptedLink(Link):
+    """A connection that a front has taken; its messages are told to the front's AcceptedLinks."""
+
+    accepted: AcceptedLinks
+    opened_ms = 0.0
+    heard_ms = 0.0  # when its last whole message came; 0: none has
+
+    def connectionMade(self) -> None:
+        self.opened_ms = self.now_ms()
+        self.accepted.held[self] = self.accepted.silent[self] = None
+        super().connectionMade()
+
+    def connectionLost(self, reason: object = None) -> None:
+        self.accepted.remove(self)
+
+    def heard(self) -> None:
+        """A whole message has come."""
+        self.heard_ms = self.now_ms()
+        if self in self.accepted.held:
+            self.accepted.held.move_to_end(self)
+        self.accepted.silent.pop(self, None)
+
+    def busy(self) -> bool:
+        """Whether it is owed an answer."""
+        raise NotImplementedError
+
+    def left(self) -> None:
+        """It has gone, or is being closed: what it was owed is not any more."""
+        raise NotImplementedError
+
+
+class AcceptedLinks:
+    """The connections that a front has taken: bounds on their number, on silence and on half a message.
+
+    Guards against descriptors and memory held by peers that say nothing, ask once and stay, or never finish;
+    where connections run short these go first, so that who has something to say is let in.
+    """
+
+    def __init__(self, tally: Tally, kind: str, most: int, deadlines: Deadlines) -> None:
+        self.tally, self.kind, self.most, self.deadlines = tally, kind, most, deadlines
+        self.held: OrderedDict[AcceptedLink, None] = OrderedDict()  # the least lately heard first
+        self.silent: OrderedDict[AcceptedLink, None] = OrderedDict()  # those not heard yet, oldest first
+        self.look()
+
+    def room(self) -> bool:
+        """Whether one more is taken; the one that needs its place least may be closed for it."""
+        if len(self.held) < self.most:
+            return True
+        found = next(iter(self.silent), None) or next((link for link in self.held if not link.busy()), None)
+        self.tally.add(f"{self.kind}.over_limit")
+        if found is not None:
+            self.close(found)
+        return found is not None
+
+    def close(self, link: AcceptedLink) -> None:
+        link.transport.abortConnection()
+        self.remove(link)
+
+    def remove(self, link: AcceptedLink) -> None:
+        """It has gone; told once."""
+        self.silent.pop(link, None)
+        if link in self.held:
+            del self.held[link]
+            link.left()
+
+    def look(self, _: object = None) -> None:
+        """Close who has been silent or idle for too long, or does not finish a message."""
+        now_ms = self.deadlines.clock.now_ms()
+        for link in list(self.held):
+            if not link.heard_ms and now_ms - link.opened_ms > FIRST_MS:
+                self.tally.add(f"{self.kind}.silent")
+            elif link.partial_ms and now_ms - link.partial_ms > FIRST_MS:
+                self.tally.add(f"{self.kind}.unfinished")
+            elif link.heard_ms and now_ms - link.heard_ms > IDLE_MS and not link.busy():
+                self.tally.add(f"{self.kind}.idle")
+            else:
+                continue
+            self.close(link)
+        self.deadlines.at(now_ms + LOOK_MS, self.look)
+
+
 class HeadReceiver(Link, LineReceiver):
     """Text messages: a head that ends with an empty line, and a body of the length that the head tells."""
 
@@ -102,6 +188,10 @@
             self.malformed(fault)
             return
         self._buffer = self.left_over(data[at:], begun=at > 0)
+        self.readEnded()
+
+    def readEnded(self) -> None:
+        """All messages of a read have been handed out."""
 
     def body_length(self, head: memoryview) -> int:
         raise NotImplementedError
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -1,6 +1,7 @@
 """The parsers under random cuts of valid messages and random garbage, from fixed seeds."""
 
 import json
+import struct
 
 import pytest
 from hypothesis import given
@@ -10,6 +11,7 @@
 
 from leadslip import interface as face
 from leadslip.checks import Tally
+from leadslip.net import enum
 from leadslip.net.board import Events
 from leadslip.net.clients import Clients
 from leadslip.net.links import MAX_MESSAGE
@@ -150,6 +152,13 @@
         INVITE.replace(b"Priority-Class: ", b"Priority-Class"),
         sip(b"INVITE", extra=b"X: " + b"y" * MAX_MESSAGE + b"\r\n"),
         sip(b"INVITE").replace(b"Length: 0", b"Length: 99999"),
+        INVITE.replace(b"Length: 12", b"Length: -12"),
+        INVITE.replace(b"Content-Length: 12", b"X: 1"),
+        INVITE.replace(b"\r\n\r\n", b"\r\nContent-Length: 0\r\n\r\n", 1),
+        INVITE.replace(b"c=IN", b"c=IP"),
+        INVITE.replace(b"9b1f", b"0000").replace(b"Expires-Ms: 1500", b"Expires-Ms: 999999999"),
+        INVITE.replace(b"9b1f", b"0000").replace(b"width:1", b"width:-1"),
+        sip(b"INVITE", "0" * 16, extra=b"Expires-Ms: 1500\r\n") + b"what the length left out\r\n\r\n",
     ],
 )
 def test_a_malformed_message_from_a_caller_is_counted_and_closes_that_connection(data):
@@ -157,11 +166,91 @@
     link.dataReceived(INVITE)
     link.dataReceived(data)
     assert link.transport.disconnecting and world.tally.counts["clients.malformed"] == 1
+    assert len(world.sent) == 1, "nothing is sent on of a read that can't be read to its end"
     link.connectionLost()
     world.wait(2000)
     assert world.told == [("give up", ID)], "the calls open on it are settled, and get no answer"
 
 
+def test_a_set_up_withdrawn_in_the_same_breath_is_sent_nowhere():
+    world, link = caller()
+    link.dataReceived(INVITE + sip(b"CANCEL"))
+    assert not world.sent and link.transport.value().startswith(b"SIP/2.0 200 OK") and not link.busy()
+
+
+def test_a_stranger_can_not_withdraw_a_set_up_and_unknown_calls_are_told_so():
+    world, link = caller()
+    link.dataReceived(INVITE)
+    other = link.front.buildProtocol(None)
+    other.makeConnection(Transport())
+    other.dataReceived(sip(b"CANCEL") + sip(b"BYE", "0" * 16))
+    assert other.transport.value().count(b"SIP/2.0 481 ") == 2
+    world.engine.stood(world.sent[0], b"sdp")
+    assert world.told == [] and b"SIP/2.0 200 OK" in link.transport.value()
+    other.dataReceived(sip(b"BYE"))
+    assert world.told == [("release", ID)], "what stands may be ended on any connection"
+
+
+def enum_askers():
+    world = World()
+    links = enum.EnumLinks(enum.EnumFront(None, world.tally, world.deadlines), 10)
+
+    def make():
+        link = links.buildProtocol(None)
+        if link is not None:
+            link.makeConnection(Transport())
+        return link
+
+    return world, make, struct.pack("!H", 40), None
+
+
+def sip_callers():
+    world, link = caller()
+
+    def make():
+        made = link.front.buildProtocol(None)
+        if made is not None:
+            made.makeConnection(Transport())
+        return made
+
+    link.connectionLost()
+    return world, make, INVITE[:-1], INVITE
+
+
+@pytest.mark.parametrize("front", [enum_askers, sip_callers])
+def test_who_says_nothing_or_never_finishes_is_closed(front):
+    world, make, half, whole = front()
+    silent, unfinished = make(), make()
+    unfinished.dataReceived(half)
+    world.wait(1900)
+    assert not silent.transport.disconnecting and not unfinished.transport.disconnecting
+    world.wait(400)
+    assert silent.transport.disconnecting and unfinished.transport.disconnecting
+    if whole:
+        asked = make()
+        asked.dataReceived(whole)
+        world.wait(1600)
+        assert not asked.transport.disconnecting and asked.set_ups == {}
+        world.wait(14_000)
+        assert asked.transport.disconnecting, "one that asked once and stays is not kept for good"
+
+
+@pytest.mark.parametrize("front", [enum_askers, sip_callers])
+def test_at_the_limit_the_silent_go_and_who_is_owed_an_answer_stays(front):
+    world, make, _, whole = front()
+    first, *rest = [make() for _ in range(10)]
+    if whole:
+        first.dataReceived(whole)
+    late = make()
+    assert late is not None
+    gone = [link for link in (first, *rest) if link.transport.disconnecting]
+    assert gone == [rest[0] if whole else first]
+    if whole:
+        for i, link in enumerate((*rest[1:], late)):
+            link.dataReceived(whole.replace(b"9b1f", b"%04x" % i))
+        assert make() is None, "where all are owed an answer, no more are taken"
+
+
 @pytest.mark.parametrize(
     "data",
     [
