Forget servers that are gone, in the engine and the Controller

Read in the code and confirmed by a test that fails without it: Engine.states, told_ms and Controller.servers kept every server id, and the fair rate was divided by all servers ever listed.

The engine forgets a server once the drain grace is over.

--- a/leadslip/choice.py
+++ b/leadslip/choice.py
@@ -87,6 +87,7 @@
         self.random = random.Random(seed)
         self.servers: dict[str, _Server] = {}
         self.calls: dict[str, _Call] = {}
+        self.gone: dict[str, float] = {}  # server -> when it was told to be gone, oldest first
         self.listed = False  # a list has been seen
         self.ticking = False
         self.busy: dict[str, float] = {}  # number called -> not to be tried before
@@ -151,6 +152,8 @@
             self.servers = {name: server for name, server in self.servers.items() if name in names}
         for entry in news.entries:
             held = self.servers.get(entry.server)
+            if entry.state is face.ServerState.GONE and (held is None or held.entry.state is not entry.state):
+                self.gone[entry.server] = now_ms
             if held is not None and entry.online_since_ms <= held.entry.online_since_ms:
                 held.entry = entry
                 continue
@@ -200,6 +203,12 @@
         """The interval's end: smooth figures and chances, learn the calm rate."""
         self.busy = {number: due for number, due in self.busy.items() if due + BUSY_MS > now_ms}
         self.known_ms += INTERVAL_MS
+        # Guards against keeping every server for good, and against a fair rate that sinks with their number,
+        # where they are replaced under new ids.
+        for name in [name for name, gone_ms in self.gone.items() if gone_ms + MEMORY_MS < now_ms]:
+            del self.gone[name]
+            if name in self.servers and self.servers[name].entry.state is face.ServerState.GONE:
+                del self.servers[name]
         self.lost *= 1.0 - INTERVAL_MS / CALM_MEMORY_MS
         for server in self.servers.values():
             # A silent server yields no figure: the age of its oldest unanswered set-up is the least delay
--- a/leadslip/core.py
+++ b/leadslip/core.py
@@ -253,6 +253,11 @@
                 self._state(server, face.ServerState.GONE)
         for entry in news.entries:
             self._state(entry.server, entry.state)
+        # Guards against growth without end where servers are replaced by new ones under new ids.
+        grace_ms = self.clock.now_ms() - self.settings.drain_grace_ms
+        for server, told_ms in list(self.told_ms.items()):
+            if self.states[server] is face.ServerState.GONE and told_ms <= grace_ms:
+                del self.told_ms[server], self.states[server]
         self._feed(news)
 
     def _state(self, server: str, state: face.ServerState) -> None:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -6,7 +6,7 @@
 import pytest
 from twisted.internet.task import Clock
 
-from leadslip import core
+from leadslip import choice, core
 from leadslip import interface as face
 from leadslip.checks import Tally
 from tests.helpers import PLAIN, entry, settings
@@ -172,3 +172,19 @@
     assert done.returncode == code and text in done.stderr
     if not code:
         assert done.stdout.strip() == "True False {'broken.one attempt out': 1}"
+
+
+def test_servers_that_come_and_go_under_new_ids_leave_nothing_behind():
+    world = World(drain_grace_ms=300.0)
+    for i in range(50):
+        world.engine.news(face.ListNews(face.NewsKind.CHANGES, (entry(f"n{i}", 0),)))
+        world.offer(str(i), to=0)
+        for attempt in world.sent:
+            world.engine.ended(attempt, face.Outcome.ERROR)
+        gone = entry(f"n{i}", 0, "gone")
+        world.engine.news(face.ListNews(face.NewsKind.CHANGES, (gone,)))
+        world.wait(301)
+    world.engine.news(face.ListNews(face.NewsKind.CHANGES, ()))
+    world.wait(choice.MEMORY_MS + choice.INTERVAL_MS)
+    assert set(world.engine.states) == {"s0", "s1"} == set(world.engine.controller.servers)
+    assert not world.engine.told_ms and not world.engine.open and not world.engine.controller.gone
