Fail a call whose end comes before its answer; redial a resolver stuck in half a reply

Cause 16 before the answer tells of a call that stood and is over: it has run. The request fails now and is not set up again (Engine.spent). Ruled out: releases swallowed by a dead connection, as each of the missed calls had its release on a connection that went on speaking.

Also, for ENUM: a resolver's TCP connection with an unfinished reply older than half the attempt is closed and what is out on it asked again; before, it held up every later exchange.

--- a/leadslip/core.py
+++ b/leadslip/core.py
@@ -354,6 +354,20 @@
             self.far_side.give_up(attempt)
         self._finish(attempt, outcome, cause, load)
 
+    def spent(self, attempt: Attempt) -> None:
+        """A call has stood and come to its end while its answer never came.
+
+        Guards against setting it up again: it has run, and its end would be taken for the other attempt's.
+        """
+        request = attempt.request
+        if not attempt.out:
+            return
+        if request.state is State.OPEN:
+            self.tally.add("requests.spent")
+            self._fail(request)
+            self._feed(face.CallerLeft(request.id))
+        self.ended(attempt, face.Outcome.CUT)
+
     def looked(self, server: str, load: face.Load) -> None:
         """Unasked news of a server's lines."""
         self._feed(face.ServerLooked(server, face.Outcome.SERVED, 0.0, load))
--- a/leadslip/net/enum.py
+++ b/leadslip/net/enum.py
@@ -343,14 +343,13 @@
 
     def _ask_over_tcp(self, id_: int) -> None:
         self.far.tally.add("enum_resolvers.truncated")
-        link = self.link
-        if link is not None and link.partial_ms and link.now_ms() - link.partial_ms > self.far.attempt_ms:
-            # Half a reply that never ends would hold up all that come after it.
-            link.malformed(MessageError("unfinished"))
-            self.lost(link)
         if self.link is not None:
             self.link.say(struct.pack("!H", len(self.over_tcp[id_])), self.over_tcp[id_])
-        elif not self.dialling:
+        else:
+            self._dial()
+
+    def _dial(self) -> None:
+        if not self.dialling:
             self.dialling = True
             host, port = self.address
             self.far.reactor.connectTCP(host, port, self.links, timeout=self.far.attempt_ms / 1000.0)
@@ -374,8 +373,15 @@
 
     def _tidy(self) -> None:
         """A connection without an exchange is closed: truncated replies are few."""
-        if self.link is not None and not self.over_tcp:
-            link, self.link = self.link, None
+        link = self.link
+        if link is not None and link.partial_ms and link.now_ms() - link.partial_ms > self.far.attempt_ms / 2:
+            # Guards against half a reply that never ends: it would hold up all that come after it.
+            self.link = None
+            link.malformed(MessageError("unfinished"))
+            if self.over_tcp:
+                self._dial()  # they are asked again there
+        elif link is not None and not self.over_tcp:
+            self.link = None
             link.transport.loseConnection()
 
 
--- a/leadslip/net/servers.py
+++ b/leadslip/net/servers.py
@@ -21,7 +21,6 @@
     47: face.Outcome.ERROR,
     102: face.Outcome.NOT_SENT,
     41: face.Outcome.CUT,
-    16: face.Outcome.ERROR,
 }
 FREE = (PROGRESS, RELEASE_HEARD, TEST_ENDED)  # they mean nothing
 NOTES = {
@@ -106,7 +105,7 @@
             self.server.answered(call, told[DESCRIPTION])
         elif kind == RELEASE:
             cause = told.get(CAUSE)
-            if cause is None or len(cause) != 1 or cause[0] not in ENDS:
+            if cause is None or len(cause) != 1 or cause[0] not in (NORMAL, *ENDS):
                 raise MessageError("cause")
             self.server.released(call, cause[0], NOTES.get(bytes(told.get(NOTE, b"")), face.Cause.NONE), load)
         elif kind == STATE and load is not None:
@@ -359,6 +358,8 @@
         elif attempt.stands:
             outcome = face.Outcome.SERVED if cause == NORMAL else face.Outcome.CUT
             self.far.engine.ended(attempt, outcome, load=load)
+        elif cause == NORMAL:
+            self.far.engine.spent(attempt)  # it stood: its answer is late or lost
         else:
             self.far.engine.ended(attempt, ENDS[cause], note, load)
 
--- a/tests/test_enum.py
+++ b/tests/test_enum.py
@@ -2,6 +2,7 @@
 
 import socket
 import struct
+from types import SimpleNamespace
 
 import pytest
 from hypothesis import given
@@ -11,11 +12,13 @@
 from twisted.names import dns
 
 from leadslip import config
+from leadslip import interface as face
 from leadslip.checks import Tally
 from leadslip.core import Deadlines, Engine
 from leadslip.net import enum
 from leadslip.net.links import MessageError
 from tests.standins import HOST, Program, Resolver, ask, ask_many, query, reply
+from tests.test_links import Transport
 
 NAME = b"9.8.7.6.5.4.3.2.1.2.8.e164.arpa"
 
@@ -202,6 +205,41 @@
         assert len(said) <= 1
 
 
+def test_half_a_reply_over_tcp_does_not_hold_up_the_replies_after_it():
+    quiet, dialled, said = Quiet(), [], []
+    resolver = quiet.resolver
+    resolver.far.reactor = SimpleNamespace(connectTCP=lambda *told, **more: dialled.append(1))
+    resolver.transport = SimpleNamespace(write=lambda data: None)
+    quiet.send, quiet.give_up = resolver.send, resolver.drop
+    listed = face.ListEntry(resolver.name, 0, face.ServerState.READY)
+    quiet.front.engine.news(face.ListNews(face.NewsKind.WHOLE, (listed,)))
+
+    def ask_truncated(name):
+        quiet.front.take(query(name), said.append, name, None)
+        asked = dns.Message(list(resolver.pending)[-1])
+        asked.queries = [dns.Query(name, dns.NAPTR)]
+        asked.over_tcp = False
+        resolver.datagramReceived(truncated(asked)[0], resolver.address)
+        asked.over_tcp = True
+        return truncated(asked)[0]
+
+    def up():
+        link = enum.ResolverLink(resolver)
+        link.makeConnection(Transport())
+        return link
+
+    ask_truncated(NAME)
+    first = up()
+    first.dataReceived(b"\0\x40half")
+    quiet.clock.advance(0.3)
+    second = ask_truncated(b"9." + NAME)
+    quiet.clock.advance(0.11)
+    assert first.transport.disconnecting and len(dialled) == 2
+    up().dataReceived(struct.pack("!H", len(second)) + second)
+    quiet.clock.advance(1.2)
+    assert [answer[3] & 15 for answer in said] == [dns.OK, dns.EREFUSED]
+
+
 @pytest.mark.parametrize(
     ("name", "number"),
     [
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -303,6 +303,18 @@
     assert world.told == [("stands", second, b"sdp")]
 
 
+def test_a_call_whose_end_comes_before_its_answer_has_run_and_is_not_set_up_again():
+    world, link = server_link()
+    world.offer(ID)
+    call = bytes.fromhex(ID)
+    link.dataReceived(binary(12, call, (61, b"\x10")))
+    assert world.told == [("failed", ID)]
+    link.dataReceived(binary(9, call, (63, b"late")) + binary(12, call, (61, b"\x10")))
+    world.wait(2000)
+    assert world.told == [("failed", ID)] and len(world.engine.far_side.servers) == 1
+    assert sent(link) == 1 and world.tally.counts["attempts.cut"] == 1
+
+
 def test_a_connection_reset_when_new_costs_no_set_up():
     world, link = server_link()
     link.connectionLost()
