Spread set-ups over up to four connections to a server; tell dead ones by what stands on others

In the trace each dead connection held all set-ups of its server until doubt, a dial and an answer had passed, and the window counted them as waiting meanwhile.

Now a set-up goes on the connection with the fewest out, up to four. A silent one is dead if a set-up sent 50 ms after its last word and its oldest set-up stands on another, or if it has missed a state told there.

A first version closed a spare connection and dialled anew for it without end (1,000 connections); there is a test.

--- a/leadslip/net/servers.py
+++ b/leadslip/net/servers.py
@@ -35,6 +35,9 @@
 NORMAL, CUT = 16, 41
 RECENT_MS = 30_000.0  # for so long the end of a call that was held here may be told again
 PARTIAL_MS = 300.0  # for so long a message may be unfinished: a whole one takes a few ms to come
+MOST_LINKS = 4  # connections to a server: so many are told the state of its lines
+OVERTAKEN_MS = 50.0  # a set-up is lost where one sent so much later stands and its connection stays silent
+STATE_MS = 300.0  # a state told elsewhere for so long, and not here, tells that a silent connection is dead
 UNANSWERED_MS = 400.0  # a set-up out for so long on a connection that says nothing puts it in doubt ...
 SILENT_MS = 1500.0  # ... and so does saying nothing at all for so long while calls stand
 GONE_MS = 2000.0  # a server not heard for so long, to which no connection comes up, has vanished
@@ -109,6 +112,7 @@
                 raise MessageError("cause")
             self.server.released(call, cause[0], NOTES.get(bytes(told.get(NOTE, b"")), face.Cause.NONE), load)
         elif kind == STATE and load is not None:
+            self.server.told_state(self)
             self.server.far.engine.looked(self.server.uid, load)
         elif kind == TEST:
             self.say(message(TEST_ENDED, call, (CAUSE, b"\x01")))
@@ -139,10 +143,12 @@
         self, far: Servers, uid: str, address: Address, state: face.ServerState, since: float
     ) -> None:
         self.far, self.uid, self.address, self.state, self.since = far, uid, address, state, since
-        self.link: ServerLink | None = None  # takes new set-ups
+        self.up: list[ServerLink] = []  # take set-ups, oldest first
         self.new: ServerLink | None = None  # has come up and said nothing yet
-        self.old: ServerLink | None = None  # in doubt; another has taken its place
         self.dialling = False
+        self.dialled_ms = 0.0
+        self.stood_ms = 0.0  # when the latest set-up that stands was sent
+        self.state_ms = 0.0  # when state was last told unasked
         self.resets = 0  # new connections in a row that were lost before they said anything
         self.heard_ms = far.now_ms()
         self.waiting: dict[bytes, Attempt] = {}  # set-ups that wait for a connection
@@ -155,11 +161,18 @@
 
     def send(self, attempt: Attempt) -> face.Outcome | None:
         call = bytes.fromhex(attempt.request.id)
-        if self.link is None:
+        link = self._least_used()
+        if link is None:
             self.waiting[call] = attempt
             self.dial()
             return None
-        return self._set_up(self.link, call, attempt)
+        if link.set_ups and len(self.up) < MOST_LINKS and self.state is face.ServerState.READY:
+            # One spoilt answer ends all that is out on its connection: set-ups are spread over a few.
+            self.dial()
+        return self._set_up(link, call, attempt)
+
+    def _least_used(self) -> ServerLink | None:
+        return min(self.up, key=lambda link: len(link.set_ups), default=None)
 
     def _set_up(self, link: ServerLink, call: bytes, attempt: Attempt) -> face.Outcome | None:
         request, far = attempt.request, self.far
@@ -188,11 +201,12 @@
             on = self.out.get(call)
             if self._drop(call) is not None:
                 told = message(RELEASE, call, (CAUSE, bytes((NORMAL,))))
-                if on is None and self.link is None:
+                link = on or self._least_used()
+                if link is None:
                     self.unsaid.append(told)  # else the call would stand on at the server
                     self.dial()
                 else:
-                    (on or self.link).say(told)
+                    link.say(told)
         self.far.tidy(self)
 
     def _drop(self, call: bytes) -> Attempt | None:
@@ -208,8 +222,6 @@
         on = self.out.pop(call, None)
         if on is not None:
             on.set_ups.pop(call, None)
-            if on is self.old and not on.set_ups:
-                on.transport.loseConnection()  # nothing more is due on it
         return on
 
     # Connections.
@@ -217,7 +229,7 @@
     def dial(self) -> None:
         if self.dialling or self.new is not None or self.state is face.ServerState.GONE:
             return
-        self.dialling = True
+        self.dialling, self.dialled_ms = True, self.far.now_ms()
         host, port = self.address
         self.far.reactor.connectTCP(host, port, self.links, timeout=self.far.dial_timeout_s)
 
@@ -239,14 +251,19 @@
             self.resets = 0
             self._use(link)
 
+    def told_state(self, link: ServerLink) -> None:
+        if link.heard_ms > link.opened_ms + STATE_MS:  # what a new connection is told first is told it alone
+            self.state_ms = link.heard_ms
+
     def _use(self, link: ServerLink) -> None:
-        """Send on this connection from now on; the one before it may still bring what is out on it."""
+        """Send on this connection too from now on; those before it may still bring what is out on them."""
         self.new = None
-        if self.old is not None:
-            self.old.abort()
-        self.old, self.link = self.link, link
-        if self.old is not None and not self.old.set_ups:
-            self.old.transport.loseConnection()
+        idle = [held for held in self.up if not held.set_ups]
+        if len(self.up) >= MOST_LINKS and idle:
+            spare = min(idle, key=lambda held: held.heard_ms)
+            self.up.remove(spare)  # first, as one that is lost while in use is dialled anew
+            spare.abort()
+        self.up.append(link)
         unsaid, self.unsaid = self.unsaid, []
         for told in unsaid:
             link.say(told)
@@ -265,7 +282,7 @@
         self.far.tally.add("servers.refused" if refused else "servers.unreachable")
         self._nothing_sent()
         silent = self.far.now_ms() - self.heard_ms > GONE_MS
-        if silent or (refused and self.link is None):
+        if silent or (refused and not self.up):
             # The process is gone and has cut its calls, or its machine has vanished: no connection tells.
             self.cut()
         self.far.tidy(self)
@@ -286,30 +303,37 @@
                 self._nothing_sent()
             else:
                 self.dial()
-        if link is self.old:
-            self.old = None
-        if link is self.link:
-            self.link = None
+        if link in self.up:
+            self.up.remove(link)
             # At once: the server tells on the next connection what the lost one may have swallowed.
             self.dial()
         for call, attempt in list(link.set_ups.items()):
             self._drop(call)
             self.far.engine.ended(attempt, face.Outcome.CUT)
-        if self.state is face.ServerState.GONE and self.link is None:
+        if self.state is face.ServerState.GONE and not self.up:
             self.cut()
         self.far.tidy(self)
 
     def cut(self) -> None:
         """End all that is out or stands here as cut."""
-        links, self.link, self.new, self.old = (self.link, self.new, self.old), None, None, None
+        links, self.up, self.new = self.links_open(), [], None
         self.unsaid.clear()
         for link in links:
-            if link is not None:
-                link.abort()
+            link.abort()
         for call, attempt in list(self.calls.items()):
             if self._drop(call) is not None:
                 self.far.engine.ended(attempt, face.Outcome.CUT)
 
+    def links_open(self) -> list[ServerLink]:
+        return self.up + ([self.new] if self.new is not None else [])
+
+    def _dead(self, link: ServerLink, now_ms: float) -> bool:
+        """Whether a connection is silent where others of the same server are not."""
+        oldest = next(iter(link.set_ups.values()), None)
+        overtaken = oldest is not None and max(oldest.sent_ms, link.heard_ms) + OVERTAKEN_MS < self.stood_ms
+        told = link.heard_ms + STATE_MS < self.state_ms < now_ms - STATE_MS
+        return overtaken or (told and now_ms - link.heard_ms > SILENT_MS)
+
     def look(self, now_ms: float) -> None:
         """Close what will bring nothing more, and dial anew past a connection in doubt.
 
@@ -317,9 +341,12 @@
         would time out and the ends of its calls would never be heard. A processor that hangs looks alike;
         there the new connection says no more, and nothing is given up.
         """
-        for link in (self.link, self.new, self.old):
-            if link is not None and link.partial_ms and now_ms - link.partial_ms > PARTIAL_MS:
+        for link in self.links_open():
+            if link.partial_ms and now_ms - link.partial_ms > PARTIAL_MS:
                 link.malformed(MessageError("unfinished"))
+            elif self._dead(link, now_ms):
+                self.far.tally.add("servers.dead_links")
+                link.abort()
         if self.state is face.ServerState.GONE:
             if now_ms - self.heard_ms > GONE_MS:
                 self.cut()
@@ -327,16 +354,19 @@
             return
         if self.new is not None and now_ms - self.new.opened_ms > UP_MS:
             self._use(self.new)
-        link = self.link
-        if link is None:
+        if self.dialling or self.new is not None or now_ms - self.dialled_ms < SILENT_MS / 3:
+            return
+        if not self.up:
             if self.calls or self.unsaid:
                 self.dial()
             return
-        oldest = next(iter(link.set_ups.values()), None)
-        quiet_ms = now_ms - link.heard_ms
-        doubt = oldest is not None and min(quiet_ms, now_ms - oldest.sent_ms) > UNANSWERED_MS
-        doubt = doubt or (bool(self.calls) and quiet_ms > SILENT_MS)
-        if doubt and not self.dialling and self.new is None and self.old is None:
+        quiet_ms = now_ms - self.heard_ms
+        sent = [next(iter(link.set_ups.values())).sent_ms for link in self.up if link.set_ups]
+        fresh = (
+            len(self.up) > 1 and now_ms - self.up[-1].opened_ms < SILENT_MS
+        )  # it would say no less than another
+        doubt = bool(sent) and not fresh and min(quiet_ms, now_ms - min(sent)) > UNANSWERED_MS
+        if doubt or (self.calls and quiet_ms > SILENT_MS):
             self.far.tally.add("servers.silent")
             self.dial()
 
@@ -345,9 +375,8 @@
     def answered(self, call: bytes, description: memoryview) -> None:
         attempt = self.calls.get(call)
         if attempt is not None:
-            on, old = self._answered(call), self.old
-            if on is not None and on is self.link and old is not None and old.heard_ms < on.opened_ms:
-                old.abort()  # silent while the newer one brings answers: dead, and its set-ups can go again
+            if self._answered(call) is not None:
+                self.stood_ms = max(self.stood_ms, attempt.sent_ms)
             self.far.engine.stood(attempt, description)
 
     def released(self, call: bytes, cause: int, note: face.Cause, load: face.Load | None) -> None:
@@ -413,7 +442,7 @@
         waiting, server.waiting = server.waiting, {}
         for attempt in waiting.values():
             self.engine.ended(attempt, face.Outcome.NO_CONNECTION)
-        if server.link is None:
+        if not server.up:
             server.cut()
         self.tidy(server)
 
@@ -427,9 +456,8 @@
     def tidy(self, server: Server) -> None:
         """A server that has left is forgotten once nothing is open there."""
         if server.state is face.ServerState.GONE and not server.calls:
-            for link in (server.link, server.new, server.old):
-                if link is not None:
-                    link.transport.loseConnection()
+            for link in server.links_open():
+                link.transport.loseConnection()
             if self.servers.get(server.uid) is server:
                 del self.servers[server.uid]
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -299,6 +299,7 @@
     world.offer(second)
     assert (sent(link), sent(newer)) == (1, 1)
     newer.dataReceived(binary(9, bytes(8), (63, b"sdp")))
+    world.wait(100)
     assert link.transport.disconnecting and world.tally.counts["attempts.cut"] == 1
     assert world.told == [("stands", second, b"sdp")]
 
@@ -315,6 +316,43 @@
     assert sent(link) == 1 and world.tally.counts["attempts.cut"] == 1
 
 
+def test_one_spoilt_answer_ends_no_more_than_is_out_on_its_connection():
+    world, link = server_link()
+    for i in range(2):
+        world.offer(f"{i:016x}")
+    assert len(link.server.far.reactor) == 1, "a second connection is dialled for the second set-up"
+    other = up(link.server)
+    for i in range(2, 4):
+        world.offer(f"{i:016x}")
+    assert (sent(link), sent(other)) == (2, 2)
+    link.dataReceived(b"\xff\xff\xff")
+    assert world.tally.counts["attempts.cut"] == 2
+    other.dataReceived(binary(9, bytes(7) + b"\2", (63, b"sdp")))
+    assert world.told == [("stands", f"{2:016x}", b"sdp")]
+
+
+def test_a_connection_too_many_closes_an_idle_one_and_none_is_dialled_for_that():
+    world, link = server_link()
+    server = link.server
+    for _ in range(4):
+        up(server)
+    assert len(server.up) == 4 and link.transport.disconnecting and not server.far.reactor
+
+
+def test_a_connection_that_misses_the_states_told_on_another_is_dead():
+    world, link = server_link()
+    other = up(link.server)
+    world.offer(ID)
+    link.dataReceived(binary(9, bytes.fromhex(ID), (63, b"sdp")))
+    for _ in range(19):
+        world.wait(100)
+        other.dataReceived(binary(43, bytes(8), (51, b"x0:50;x1:50")))
+        assert not other.transport.disconnecting
+    world.wait(400)
+    assert link.transport.disconnecting and not other.transport.disconnecting
+    assert world.told == [("stands", ID, b"sdp")], "its calls stand on"
+
+
 def test_a_connection_reset_when_new_costs_no_set_up():
     world, link = server_link()
     link.connectionLost()
