Cut calls at a server that can't be reached after 6.5 s, not 2 s

Now its connections are given up after 2 s, so that set-ups go elsewhere, and its calls after 6.5 s; a refused connection still proves the process dead.

--- a/leadslip/net/servers.py
+++ b/leadslip/net/servers.py
@@ -40,7 +40,8 @@
 STATE_MS = 300.0  # a state told elsewhere for so long, and not here, tells that a silent connection is dead
 UNANSWERED_MS = 400.0  # a set-up out for so long on a connection that says nothing puts it in doubt ...
 SILENT_MS = 1500.0  # ... and so does saying nothing at all for so long while calls stand
-GONE_MS = 2000.0  # a server not heard for so long, to which no connection comes up, has vanished
+GONE_MS = 2000.0  # a server not heard for so long, to which no connection comes up, can't be reached
+VANISHED_MS = 6500.0  # after so long its calls count as cut: their ends are due to callers in 8 s
 UP_MS = 200.0  # a new connection says something first; one that does not is used after so long all the same
 DIALS = 3  # new connections in a row that may be reset before what waits for one is sent elsewhere
 LOOK_MS = 100.0  # between two looks at all connections
@@ -281,10 +282,14 @@
         self.dialling = False
         self.far.tally.add("servers.refused" if refused else "servers.unreachable")
         self._nothing_sent()
-        silent = self.far.now_ms() - self.heard_ms > GONE_MS
-        if silent or (refused and not self.up):
+        quiet_ms = self.far.now_ms() - self.heard_ms
+        if quiet_ms > VANISHED_MS or (refused and (quiet_ms > GONE_MS or not self.up)):
             # The process is gone and has cut its calls, or its machine has vanished: no connection tells.
             self.cut()
+        elif quiet_ms > GONE_MS:
+            # Guards against releasing calls that stand on while the machine is only cut off for some seconds.
+            for link in list(self.up):
+                link.abort()
         self.far.tidy(self)
 
     def _nothing_sent(self) -> None:
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -331,6 +331,27 @@
     assert world.told == [("stands", f"{2:016x}", b"sdp")]
 
 
+@pytest.mark.parametrize("back", [True, False])
+def test_calls_outlive_a_server_cut_off_for_seconds_but_not_one_that_has_vanished(back):
+    world, link = server_link()
+    world.offer(ID)
+    link.dataReceived(binary(9, bytes.fromhex(ID), (63, b"sdp")))
+    for _ in range(8):
+        world.wait(500)
+        if link.server.dialling:
+            link.server.dial_failed(refused=False)
+    assert link.transport.disconnecting and world.told == [("stands", ID, b"sdp")]
+    if back:
+        up(link.server).dataReceived(binary(12, bytes.fromhex(ID), (61, b"\x10")))
+        assert world.told[1:] == [("over", ID, False)]
+        return
+    for _ in range(7):
+        world.wait(500)
+        if link.server.dialling:
+            link.server.dial_failed(refused=False)
+    assert world.told[1:] == [("over", ID, True)]
+
+
 def test_a_connection_too_many_closes_an_idle_one_and_none_is_dialled_for_that():
     world, link = server_link()
     server = link.server
