Tell every end of a call in time: owe a connection opened after each loss

- a connection is lost while another is being dialled: the dial was not repeated, though the server may have taken the new one first and written the end on the lost one after that;
- an end on a spare connection that we close is thrown away with it: it is now closed towards the server and read to its end (300 ms at most);
- a dead connection that others of its server outlive: only set-ups and states could show it, so that it took up to the attempt's time where no states are told.
One silent for 550 ms while calls stand is followed by a new one, on which what it swallowed is told; an end told elsewhere shows it dead after 100 ms;
- a server listed as gone, or one that refuses new connections while others live: calls of the lost connection were never ended.
They are cut after 2 and 6.5 s.

Ruled out: releases towards callers, which go on any open connection and again where that one is lost unheard.

--- a/leadslip/net/servers.py
+++ b/leadslip/net/servers.py
@@ -43,6 +43,9 @@
 GONE_MS = 2000.0  # a server not heard for so long, to which no connection comes up, can't be reached
 VANISHED_MS = 6500.0  # after so long its calls count as cut: their ends are due to callers in 8 s
 UP_MS = 200.0  # a new connection says something first; one that does not is used after so long all the same
+QUIET_MS = 550.0  # while calls stand, a connection that says nothing for so long is followed by a new one
+CROSSED_MS = 100.0  # for so long a server may go on writing on a connection that we have given up
+CLOSING_MS = 300.0  # a server has so long to close a connection that we have closed towards it
 DIALS = 3  # new connections in a row that may be reset before what waits for one is sent elsewhere
 LOOK_MS = 100.0  # between two looks at all connections
 
@@ -77,13 +80,21 @@
         self.server, self.tally, self.now_ms = server, server.far.tally, server.far.now_ms
         self.opened_ms = self.heard_ms = self.now_ms()
         self.set_ups: dict[bytes, Attempt] = {}  # out on this connection, oldest first
+        self.overtaken_ms = 0.0  # since when the end of a call set up here is known from another connection
+        self.retired_ms = 0.0  # since when it is closed towards the server, and read to its end only
 
     def connectionMade(self) -> None:
         super().connectionMade()
         self.server.connected(self)
 
     def connectionLost(self, reason: object = None) -> None:
-        self.server.lost(self)
+        done = reason is not None and reason.check(error.ConnectionDone) is not None
+        self.server.lost(self, all_read=bool(self.retired_ms) and done)
+
+    def retire(self) -> None:
+        """Close towards the server, and read on: what is under way from it must not be lost."""
+        self.retired_ms = self.now_ms()
+        self.transport.loseWriteConnection()
 
     def malformed(self, fault: MessageError) -> None:
         super().malformed(fault)
@@ -111,7 +122,8 @@
             cause = told.get(CAUSE)
             if cause is None or len(cause) != 1 or cause[0] not in (NORMAL, *ENDS):
                 raise MessageError("cause")
-            self.server.released(call, cause[0], NOTES.get(bytes(told.get(NOTE, b"")), face.Cause.NONE), load)
+            note = NOTES.get(bytes(told.get(NOTE, b"")), face.Cause.NONE)
+            self.server.released(self, call, cause[0], note, load)
         elif kind == STATE and load is not None:
             self.server.told_state(self)
             self.server.far.engine.looked(self.server.uid, load)
@@ -154,7 +166,9 @@
         self.heard_ms = far.now_ms()
         self.waiting: dict[bytes, Attempt] = {}  # set-ups that wait for a connection
         self.calls: dict[bytes, Attempt] = {}  # set-ups out, and calls that stand
-        self.out: dict[bytes, ServerLink] = {}  # set-ups out -> their connection
+        self.on: dict[bytes, ServerLink] = {}  # those calls -> the connection of their set-up, open or not
+        self.retired: list[ServerLink] = []
+        self.owed_ms = 0.0  # a connection opened later is owed: what was lost is told there; 0: none
         self.unsaid: list[bytes] = []  # releases that wait for a connection
         self.links = ServerLinks(self)
 
@@ -182,7 +196,7 @@
             return face.Outcome.NO_CONNECTION
         left_ms = max(1, int(attempt.cut_at_ms - far.now_ms()))
         self.calls[call] = link.set_ups[call] = attempt
-        self.out[call] = link
+        self.on[call] = link
         link.say(
             message(
                 SET_UP,
@@ -199,10 +213,11 @@
         """Give a set-up up, or release a call that stands: cause 16 either way."""
         call = bytes.fromhex(attempt.request.id)
         if self.waiting.pop(call, None) is None:
-            on = self.out.get(call)
+            on = self.on.get(call)
+            out = on is not None and call in on.set_ups
             if self._drop(call) is not None:
                 told = message(RELEASE, call, (CAUSE, bytes((NORMAL,))))
-                link = on or self._least_used()
+                link = on if out else self._least_used()
                 if link is None:
                     self.unsaid.append(told)  # else the call would stand on at the server
                     self.dial()
@@ -215,15 +230,9 @@
         attempt = self.calls.pop(call, None)
         if attempt is not None:
             self.far.remember(call)
-            self._answered(call)
-        return attempt
-
-    def _answered(self, call: bytes) -> ServerLink | None:
-        """A set-up is no longer out; the connection it was out on."""
-        on = self.out.pop(call, None)
-        if on is not None:
+            on = self.on.pop(call)
             on.set_ups.pop(call, None)
-        return on
+        return attempt
 
     # Connections.
 
@@ -260,10 +269,16 @@
         """Send on this connection too from now on; those before it may still bring what is out on them."""
         self.new = None
         idle = [held for held in self.up if not held.set_ups]
-        if len(self.up) >= MOST_LINKS and idle:
-            spare = min(idle, key=lambda held: held.heard_ms)
-            self.up.remove(spare)  # first, as one that is lost while in use is dialled anew
-            spare.abort()
+        quiet_ms = self.far.now_ms() - QUIET_MS
+        spare = [held for held in idle if held.heard_ms < quiet_ms]
+        if len(self.up) - len(spare) >= MOST_LINKS and idle:
+            spare = [min(idle, key=lambda held: held.heard_ms)]
+        for held in spare:
+            self.up.remove(held)
+            self.retired.append(held)
+            held.retire()
+        if link.opened_ms >= self.owed_ms:
+            self.owed_ms = 0.0
         self.up.append(link)
         unsaid, self.unsaid = self.unsaid, []
         for told in unsaid:
@@ -298,8 +313,14 @@
         for attempt in waiting.values():
             self.far.engine.ended(attempt, face.Outcome.NO_CONNECTION)
 
-    def lost(self, link: ServerLink) -> None:
+    def lost(self, link: ServerLink, all_read: bool = False) -> None:
         """A connection has gone: the set-ups open on it may have run; calls that stand may stand on."""
+        if link in self.up or (link in self.retired and not all_read):
+            # What it may have swallowed is told on the next one opened. One under way does not do: the server
+            # may have taken it first, and written the end of a call on the lost one after that.
+            self.owed_ms = self.far.now_ms() + CROSSED_MS
+        if link in self.retired:
+            self.retired.remove(link)
         if link is self.new:
             self.new = None
             self.resets += 1
@@ -310,7 +331,6 @@
                 self.dial()
         if link in self.up:
             self.up.remove(link)
-            # At once: the server tells on the next connection what the lost one may have swallowed.
             self.dial()
         for call, attempt in list(link.set_ups.items()):
             self._drop(call)
@@ -321,14 +341,23 @@
 
     def cut(self) -> None:
         """End all that is out or stands here as cut."""
-        links, self.up, self.new = self.links_open(), [], None
+        links, self.up, self.new, self.retired = self.links_open() + self.retired, [], None, []
         self.unsaid.clear()
+        self.owed_ms = 0.0
         for link in links:
             link.abort()
         for call, attempt in list(self.calls.items()):
             if self._drop(call) is not None:
                 self.far.engine.ended(attempt, face.Outcome.CUT)
 
+    def _cut_lost(self) -> None:
+        """End the calls whose connection has gone, and of which no newer one could tell."""
+        self.owed_ms = 0.0
+        open_now = self.links_open()
+        for call, on in list(self.on.items()):
+            if on not in open_now:
+                self.far.engine.ended(self._drop(call), face.Outcome.CUT)
+
     def links_open(self) -> list[ServerLink]:
         return self.up + ([self.new] if self.new is not None else [])
 
@@ -337,7 +366,8 @@
         oldest = next(iter(link.set_ups.values()), None)
         overtaken = oldest is not None and max(oldest.sent_ms, link.heard_ms) + OVERTAKEN_MS < self.stood_ms
         told = link.heard_ms + STATE_MS < self.state_ms < now_ms - STATE_MS
-        return overtaken or (told and now_ms - link.heard_ms > SILENT_MS)
+        ends = link.heard_ms < link.overtaken_ms < now_ms - CROSSED_MS
+        return overtaken or ends or (told and now_ms - link.heard_ms > SILENT_MS)
 
     def look(self, now_ms: float) -> None:
         """Close what will bring nothing more, and dial anew past a connection in doubt.
@@ -352,14 +382,26 @@
             elif self._dead(link, now_ms):
                 self.far.tally.add("servers.dead_links")
                 link.abort()
+        for link in list(self.retired):
+            if now_ms - link.retired_ms > CLOSING_MS:
+                link.abort()
         if self.state is face.ServerState.GONE:
             if now_ms - self.heard_ms > GONE_MS:
                 self.cut()
-                self.far.tidy(self)
+            elif self.owed_ms and now_ms - self.owed_ms > GONE_MS:
+                self._cut_lost()  # no connection is opened to it any more
+            self.far.tidy(self)
             return
+        if self.owed_ms and now_ms - self.owed_ms > VANISHED_MS:
+            self._cut_lost()
         if self.new is not None and now_ms - self.new.opened_ms > UP_MS:
             self._use(self.new)
-        if self.dialling or self.new is not None or now_ms - self.dialled_ms < SILENT_MS / 3:
+        if self.dialling or self.new is not None:
+            return
+        if self.owed_ms and now_ms >= self.owed_ms and self.dialled_ms < self.owed_ms:
+            self.dial()
+            return
+        if now_ms - self.dialled_ms < SILENT_MS / 3:
             return
         if not self.up:
             if self.calls or self.unsaid:
@@ -371,20 +413,36 @@
             len(self.up) > 1 and now_ms - self.up[-1].opened_ms < SILENT_MS
         )  # it would say no less than another
         doubt = bool(sent) and not fresh and min(quiet_ms, now_ms - min(sent)) > UNANSWERED_MS
+        # Guards against ends swallowed by a dead connection while others of the server go on: where one says
+        # nothing a new one is opened, on which what it has swallowed is told.
+        newest_ms = self.up[-1].opened_ms
+        renewed = (
+            bool(self.calls)
+            and len(self.up) < 2 * MOST_LINKS
+            and any(now_ms - max(link.heard_ms, newest_ms) > QUIET_MS for link in self.up)
+        )
         if doubt or (self.calls and quiet_ms > SILENT_MS):
             self.far.tally.add("servers.silent")
             self.dial()
+        elif renewed or self.owed_ms:
+            self.far.tally.add("servers.renewed")
+            self.dial()
 
     # What the server says.
 
     def answered(self, call: bytes, description: memoryview) -> None:
         attempt = self.calls.get(call)
         if attempt is not None:
-            if self._answered(call) is not None:
+            if self.on[call].set_ups.pop(call, None) is not None:
                 self.stood_ms = max(self.stood_ms, attempt.sent_ms)
             self.far.engine.stood(attempt, description)
 
-    def released(self, call: bytes, cause: int, note: face.Cause, load: face.Load | None) -> None:
+    def released(
+        self, link: ServerLink, call: bytes, cause: int, note: face.Cause, load: face.Load | None
+    ) -> None:
+        on = self.on.get(call)
+        if on is not None and on is not link and on.overtaken_ms <= on.heard_ms:
+            on.overtaken_ms = link.heard_ms  # it should have brought this itself
         attempt = self._drop(call)
         if attempt is None:
             if call not in self.far.recent and cause in (NORMAL, CUT):
@@ -461,7 +519,7 @@
     def tidy(self, server: Server) -> None:
         """A server that has left is forgotten once nothing is open there."""
         if server.state is face.ServerState.GONE and not server.calls:
-            for link in server.links_open():
+            for link in server.links_open() + server.retired:
                 link.transport.loseConnection()
             if self.servers.get(server.uid) is server:
                 del self.servers[server.uid]
