--- a/tests/standins.py
+++ b/tests/standins.py
@@ -62,8 +62,18 @@
 class Listener:
     """Accepts TCP connections and serves each in a thread of its own."""
 
-    def __init__(self, port: int = 0) -> None:
+    def __init__(self, port: int = 0, with_datagrams: bool = False) -> None:
         self.socket = socket.create_server((HOST, port))
+        if with_datagrams:
+            # The number that TCP gives may be held over UDP, by a socket bound to all addresses: another is drawn.
+            self.datagrams = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            while True:
+                try:
+                    self.datagrams.bind(self.socket.getsockname())
+                    break
+                except OSError:
+                    self.socket.close()
+                    self.socket = socket.create_server((HOST, port))
         self.port = self.socket.getsockname()[1]
         self.address = f"{HOST}:{self.port}"
         self.links: list[socket.socket] = []
@@ -177,17 +187,15 @@
     def __init__(self, *answers: Callable[[dns.Message], list[bytes]]) -> None:
         self.answers = list(answers)
         self.queries: list[dns.Message] = []
-        super().__init__()
-        self.udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self.udp.bind((HOST, self.port))
+        super().__init__(with_datagrams=True)
         threading.Thread(target=self._datagrams, daemon=True).start()
 
     def _datagrams(self) -> None:
         while True:
             try:
-                data, asker = self.udp.recvfrom(4096)
+                data, asker = self.datagrams.recvfrom(4096)
                 for reply in self.replies(data, over_tcp=False):
-                    self.udp.sendto(reply, asker)
+                    self.datagrams.sendto(reply, asker)
             except OSError:
                 return
 
@@ -205,7 +213,7 @@
         return self.answers[min(len(self.queries), len(self.answers)) - 1](query)
 
     def die(self) -> None:
-        self.udp.close()
+        self.datagrams.close()
         super().die()
 
 
