--- /dev/null
+++ b/benchmarks/memory.py
@@ -0,0 +1,53 @@
+"""Resident memory of a proxy at its start and after many calls: python -m benchmarks.memory [ROOT] [CALLS].
+
+ROOT is a checkout to measure, this one by default; so that two versions can be compared on one machine.
+"""
+
+from __future__ import annotations
+
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+from tests import standins
+
+
+def resident_mb(pid: int) -> float:
+    """What the process holds, in MB."""
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) / 1024.0
+    raise RuntimeError("no VmRSS")
+
+
+def measure(root: Path, calls: int) -> tuple[float, float, float]:
+    """MB at the start, MB after so many calls, and seconds that they took."""
+    standins.ROOT = root
+    server = standins.SetupServer("answer")
+    with tempfile.TemporaryDirectory() as folder:
+        program = standins.Program(Path(folder), {"s0": server.address})
+        try:
+            at_start = resident_mb(program.process.pid)
+            caller = standins.Caller(program)
+            began = time.monotonic()
+            for i in range(calls):
+                caller.invite(f"{i:016x}")
+                while not caller.hear()[0].startswith(("BYE", "SIP/2.0 5")):
+                    pass
+            took_s = time.monotonic() - began
+            return at_start, resident_mb(program.process.pid), took_s
+        finally:
+            program.stop()
+
+
+def main() -> None:
+    """Print the figures of one checkout."""
+    root = Path(sys.argv[1]).resolve() if len(sys.argv) > 1 else standins.ROOT
+    calls = int(sys.argv[2]) if len(sys.argv) > 2 else 10_000
+    at_start, after, took_s = measure(root, calls)
+    print(f"{root.name}: {at_start:.1f} MB at start, {after:.1f} MB after {calls} calls in {took_s:.1f} s")
+
+
+if __name__ == "__main__":
+    main()
--- a/leadslip/__main__.py
+++ b/leadslip/__main__.py
@@ -6,6 +6,7 @@
 import signal
 import sys
 import time
+from dataclasses import dataclass
 
 from twisted import logger
 from twisted.internet import error as net_error
@@ -13,7 +14,8 @@
 
 from leadslip import config
 from leadslip.checks import Tally
-from leadslip.core import Deadlines, Engine
+from leadslip.core import Deadlines, Engine, Watcher, Watchers
+from leadslip.logs import Log, open_log
 from leadslip.net import enum
 from leadslip.net.board import Board
 from leadslip.net.clients import Clients
@@ -40,9 +42,9 @@
     logger.globalLogBeginner.beginLoggingTo([observer], redirectStandardIO=False, discardBuffer=True)
 
 
-def log(text: str) -> None:
-    """One line for the operators."""
-    print(f"{time.time():.3f} {text}", flush=True)
+def watcher_of(held: list[Watcher]) -> Watcher | None:
+    """Several watchers as one; none where there is none, which costs an engine nothing."""
+    return held[0] if len(held) == 1 else Watchers(*held) if held else None
 
 
 def most_links(conf: config.Config) -> int:
@@ -50,16 +52,37 @@
     return conf.sockets * 5 // 8
 
 
+@dataclass(frozen=True, slots=True)
+class Wanted:
+    """All that the files of one proxy ask for; what is turned off is None."""
+
+    conf: config.Config
+    enum: config.EnumConfig | None
+    otlp: config.OtlpConfig | None
+    logs: config.LogsConfig
+    store: config.StoreConfig | None
+    trunks: config.TrunksConfig | None
+
+    @classmethod
+    def load(cls, conf: config.Config) -> Wanted:
+        """Read every file but the first, checked."""
+        store = config.load_store()
+        trunks = config.load_trunks(conf, store is not None)
+        return cls(conf, config.load_enum(), config.load_otlp(), config.load_logs(), store, trunks)
+
+    def fixed(self) -> tuple[tuple[str, object], ...]:
+        """What can't change without a restart."""
+        measure = self.trunks and (self.trunks.measure, self.trunks.interval_s)
+        told = (self.enum, self.otlp, self.logs, self.store, measure)
+        return tuple(zip(("enum", "otlp", "logs", "store", "trunks.measure"), told, strict=True))
+
+
 class Node:
     """The parts of one proxy and their life."""
 
-    def __init__(
-        self,
-        conf: config.Config,
-        enum_conf: config.EnumConfig | None,
-        otlp_conf: config.OtlpConfig | None,
-    ) -> None:
-        self.enum_conf, self.otlp_conf = enum_conf, otlp_conf
+    def __init__(self, wanted: Wanted, log: Log) -> None:
+        self.wanted, self.log = wanted, log
+        conf, otlp_conf = wanted.conf, wanted.otlp
         self.conf, self.tally, self.clock = conf, Tally(), SystemClock()
         self.draining_ms = 0.0
         self.deadlines = Deadlines(self.clock, reactor)
@@ -69,9 +92,17 @@
             from leadslip.net.otlp import Exporter, Watch
 
             self.exporter = Exporter(reactor, otlp_conf, conf.name, self.deadlines, self.tally)
-            self.watches = [Watch(self.exporter, "sip", "INVITE"), Watch(self.exporter, "dns", "NAPTR")]
+            watches = [[Watch(self.exporter, "sip", "INVITE")], [Watch(self.exporter, "dns", "NAPTR")]]
         else:
-            self.watches = [None, None]
+            watches = [[], []]
+        self.keeper = None
+        if wanted.store is not None:
+            from leadslip.keeper import Keeper
+
+            self.keeper = Keeper(reactor, wanted.store, self.deadlines, self.tally, log)
+            if wanted.trunks is not None and wanted.trunks.measure:
+                self.keeper.measure(wanted.trunks, watches)
+        self.watches = [watcher_of(held) for held in watches]
         self.servers = Servers(
             reactor, self.tally, self.clock.now_ms, conf.dial_timeout_ms, self.unknown_end, self.deadlines
         )
@@ -87,6 +118,8 @@
             self.watches[0],
         )
         self.engines = [self.engine]
+        self.reservation = None
+        self.filter()
         self.clients = Clients(self.engine, self.tally, most_links(conf), self.ready)
         self.board = Board(
             reactor,
@@ -98,6 +131,16 @@
             conf.dial_timeout_ms / 1000.0,
         )
 
+    def filter(self) -> None:
+        """Build the chain of filters that the configuration asks for; what is open keeps its own."""
+        filters = []
+        if self.wanted.trunks is not None and any(group.reserve for group in self.wanted.trunks.groups):
+            from leadslip.trunks.reservation import Reservation
+
+            self.reservation = Reservation(self.wanted.trunks.groups, self.reservation)
+            filters.append(self.reservation)
+        self.engine.chain.replace(filters)
+
     def start(self) -> None:
         """Begin to serve; what is known already comes before anything is polled."""
         # Before listening: a SIGTERM that comes once the front can reach us must drain, not end.
@@ -110,16 +153,18 @@
         self.board.poll()
         if self.exporter is not None:
             self.exporter.start()
-        if self.enum_conf is not None:
-            self.engines.append(
-                enum.start(
-                    reactor, self.enum_conf, self.conf.seed, self.deadlines, self.tally, log, self.watches[1]
-                )
+        if self.keeper is not None:
+            self.keeper.start()
+        if self.wanted.enum is not None:
+            seed, enum_conf = self.conf.seed, self.wanted.enum
+            engine = enum.start(
+                reactor, enum_conf, seed, self.deadlines, self.tally, self.log, self.watches[1]
             )
+            self.engines.append(engine)
         self.report()
         gc.collect()
         gc.freeze()
-        log(f"{self.conf.name} serves on {host}:{port}")
+        self.log("serves", name=self.conf.name, address=f"{host}:{port}")
 
     def told(self, notice: config.Notice) -> None:
         """News of the list: the far side first, so that the engine can send where it has heard of."""
@@ -137,24 +182,24 @@
 
     def report(self, _: object = None) -> None:
         """Log the counters now and then."""
-        log("counts " + " ".join(f"{name}={count}" for name, count in sorted(self.tally.counts.items())))
+        told = sorted(self.tally.counts.items())
+        self.log("counts", **{name.replace(" ", "_"): count for name, count in told})
         self.deadlines.at(self.clock.now_ms() + TALLY_EVERY_MS, self.report)
 
     def reload(self) -> None:
         """SIGHUP: take all configuration anew, or none of it and say why."""
         try:
             conf = config.reload(self.conf)
-            for key, now, then in (
-                ("enum", config.load_enum(), self.enum_conf),
-                ("otlp", config.load_otlp(), self.otlp_conf),
-            ):
+            wanted = Wanted.load(conf)
+            for (key, now), (_, then) in zip(wanted.fixed(), self.wanted.fixed(), strict=True):
                 if now != then:
                     raise config.MalformedError(f"{key} can't change without a restart")
         except config.MalformedError as fault:
             self.tally.add("reloads.rejected")
-            log(f"keeps its configuration: {fault}")
+            self.log("reload.refused", level="error", fault=str(fault))
             return
-        old, self.conf = self.conf, conf
+        old, self.conf, self.wanted = self.conf, conf, wanted
+        self.filter()
         self.tally.add("reloads")
         if (conf.settings, conf.most_held) != (old.settings, old.most_held):
             self.engine.adopt(conf.settings, conf.most_held)
@@ -166,14 +211,14 @@
                 self.told(notice)
         if conf.board != old.board:
             self.board.move(conf.board)
-        log("took its configuration anew")
+        self.log("reload.taken")
 
     def drain(self) -> None:
         """SIGTERM: the front is told at its next test; what comes meanwhile is still served."""
         if self.draining_ms:
             return
         self.draining_ms = self.clock.now_ms()
-        log("draining")
+        self.log("draining")
         self.drained()
 
     def drained(self, _: object = None) -> None:
@@ -188,6 +233,8 @@
                 engine.settle()  # guards against what is still open being found unanswered by the kill
             if self.exporter is not None:
                 self.exporter.flush()
+            if self.keeper is not None:
+                self.keeper.close()
             self.report()
             reactor.callLater(0.05, reactor.stop)  # what is written gets out first
             return
@@ -200,12 +247,12 @@
     # Hooked first, as a SIGHUP not yet hooked ends the process; one that comes early waits for the reactor.
     signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(lambda: node.reload()))
     try:
-        conf, enum_conf, otlp_conf = config.load(), config.load_enum(), config.load_otlp()
+        wanted = Wanted.load(config.load())
     except config.MalformedError as fault:
         print(f"leadslip: {fault}", file=sys.stderr)
         return 2
     show_errors()
-    node = Node(conf, enum_conf, otlp_conf)
+    node = Node(wanted, open_log(wanted.logs.format, wanted.logs.level, wanted.conf.name))
     failed = []
 
     def start() -> None:
--- a/leadslip/config.py
+++ b/leadslip/config.py
@@ -236,6 +236,43 @@
     most_batch: int
 
 
+@dataclass(frozen=True, slots=True)
+class LogsConfig:
+    """How events are written."""
+
+    format: str = "plain"
+    level: str = "info"
+
+
+@dataclass(frozen=True, slots=True)
+class StoreConfig:
+    """The embedded store."""
+
+    path: str
+    most_mb: int
+    fine_days: int
+    days: int
+
+
+@dataclass(frozen=True, slots=True)
+class TrunkGroup:
+    """One trunk group: its circuits, and how many each class must leave free."""
+
+    name: str
+    destinations: tuple[int, ...]
+    trunks: float  # this proxy's part of the circuits
+    reserve: Mapping[str, float]  # class -> trunks that it must leave free
+
+
+@dataclass(frozen=True, slots=True)
+class TrunksConfig:
+    """What is measured of trunk groups, and what is reserved on them."""
+
+    measure: bool
+    interval_s: int
+    groups: tuple[TrunkGroup, ...]
+
+
 def flatten(value: object, path: str = "") -> Fields:
     """Nested JSON settings as the simulator's start message has them: path=value pairs, all text."""
     if isinstance(value, Mapping):
@@ -411,6 +448,106 @@
     return OtlpConfig(address_of(member(told, "collector", str, "otlp"), "otlp.collector"), **figures)
 
 
+LOG_FORMATS, LOG_LEVELS = ("plain", "console", "json"), ("debug", "info", "warning", "error")
+
+
+def logs_of(told: Mapping) -> LogsConfig:
+    """The checked configuration of the log; plain lines where nothing is said."""
+    for key in told:
+        if key not in ("format", "level"):
+            raise MalformedError(f"logs.{key} is unknown")
+    conf = LogsConfig(**told)
+    if conf.format not in LOG_FORMATS:
+        raise MalformedError(f"logs.format must be one of {', '.join(LOG_FORMATS)}: {conf.format!r}")
+    if conf.level not in LOG_LEVELS:
+        raise MalformedError(f"logs.level must be one of {', '.join(LOG_LEVELS)}: {conf.level!r}")
+    return conf
+
+
+STORE_KEYS = {  # key -> (default, least, most)
+    "most_mb": (64, 1, 1_000_000),
+    "fine_days": (7, 1, 366),
+    "days": (400, 1, 10_000),
+}
+
+
+def store_of(told: Mapping) -> StoreConfig | None:
+    """The checked configuration of the store; None where it is not turned on."""
+    if not _turned_on(told, "store", ("path", *STORE_KEYS)):
+        return None
+    path = str(member(told, "path", str, "store"))
+    folder = os.path.dirname(path) or "."
+    if not path or os.path.isdir(path) or not os.path.isdir(folder):
+        raise MalformedError(f"store.path is no file in a folder that is there: {path!r}")
+    figures = _figures(told, "store", STORE_KEYS)
+    if figures["days"] < figures["fine_days"]:
+        raise MalformedError(f"store.days must not be below fine_days: {figures['days']}")
+    return StoreConfig(path, **figures)
+
+
+TRUNK_KEYS = {"interval_s": (60, 1, 900)}
+
+
+def trunks_of(told: Mapping, with_store: bool, classes: Iterable[str] | None = None) -> TrunksConfig | None:
+    """The checked configuration of trunk groups; None where it is not turned on.
+
+    `classes` are those that a reserve may name; None where they are not known.
+    """
+    if not _turned_on(told, "trunks", ("measure", "group", *TRUNK_KEYS)):
+        return None
+    measure = told.get("measure", True)
+    if not isinstance(measure, bool):
+        raise MalformedError(f"trunks.measure is neither true nor false: {measure!r}")
+    if measure and not with_store:
+        raise MalformedError("trunks.measure needs the store to be turned on")
+    interval_s = _figures(told, "trunks", TRUNK_KEYS)["interval_s"]
+    if 900 % interval_s:
+        raise MalformedError(f"trunks.interval_s must divide 900: {interval_s}")
+    listed = told.get("group", [])
+    if not isinstance(listed, list):
+        raise MalformedError("trunks.group is no list of tables")
+    groups: dict[str, TrunkGroup] = {}
+    owner: dict[int, str] = {}
+    known_classes = None if classes is None else tuple(classes)
+    for i, one in enumerate(listed):
+        group = _trunk_group(one, f"trunks.group.{i}", known_classes)
+        if group.name in groups:
+            raise MalformedError(f"trunks.group.{i}.name is used twice: {group.name!r}")
+        for destination in group.destinations:
+            if owner.setdefault(destination, group.name) != group.name:
+                told_by = owner[destination]
+                raise MalformedError(f"trunks.group.{i}.destinations: {destination} belongs to {told_by!r}")
+        groups[group.name] = group
+    return TrunksConfig(measure, interval_s, tuple(groups.values()))
+
+
+def _trunk_group(told: object, at: str, classes: tuple[str, ...] | None) -> TrunkGroup:
+    if not isinstance(told, Mapping):
+        raise MalformedError(f"{at} is no table")
+    for key in told:
+        if key not in ("name", "destinations", "trunks", "share", "reserve"):
+            raise MalformedError(f"{at}.{key} is unknown")
+    name = str(member(told, "name", str, at))
+    if not name or "/" in name:
+        raise MalformedError(f"{at}.name is empty or holds a slash: {name!r}")
+    destinations = member(told, "destinations", list, at)
+    for one in destinations:
+        if isinstance(one, bool) or not isinstance(one, int):
+            raise MalformedError(f"{at}.destinations holds no whole number: {one!r}")
+    if "trunks" not in told:
+        raise MalformedError(f"{at}.trunks is missing")
+    bounds = {"trunks": (1, 0, 100_000), "share": (1.0, 0.0, 1.0)}
+    figures = _figures(told, at, bounds)
+    reserve = told.get("reserve", {})
+    if not isinstance(reserve, Mapping):
+        raise MalformedError(f"{at}.reserve is no table")
+    for key in reserve:
+        if classes is not None and key not in classes:
+            raise MalformedError(f"{at}.reserve.{key} is no class of the settings")
+    levels = _figures(reserve, f"{at}.reserve", dict.fromkeys(reserve, (0.0, 0, figures["trunks"])))
+    return TrunkGroup(name, tuple(destinations), figures["trunks"] * figures["share"], levels)
+
+
 def _turned_on(told: Mapping, path: str, keys: tuple[str, ...]) -> bool:
     for key in told:
         if key != "enabled" and key not in keys:
@@ -455,6 +592,24 @@
     return otlp_of(_optional(environ, "LEADSLIP_OTLP", "deploy/otlp.toml"))
 
 
+def load_logs(environ: Mapping[str, str] = os.environ) -> LogsConfig:
+    """The log's configuration; plain lines where there is none."""
+    return logs_of(_optional(environ, "LEADSLIP_LOGS", "deploy/logs.toml"))
+
+
+def load_store(environ: Mapping[str, str] = os.environ) -> StoreConfig | None:
+    """The store's configuration; off where there is none."""
+    return store_of(_optional(environ, "LEADSLIP_STORE", "deploy/store.toml"))
+
+
+def load_trunks(
+    conf: Config, with_store: bool, environ: Mapping[str, str] = os.environ
+) -> TrunksConfig | None:
+    """The trunk groups' configuration; off where there is none."""
+    told = _optional(environ, "LEADSLIP_TRUNKS", "deploy/trunks.toml")
+    return trunks_of(told, with_store, [kind.name for kind in conf.settings.classes])
+
+
 def read_json(path: str, key: str) -> object:
     """The JSON in a file; the key says where the path came from."""
     try:
--- a/leadslip/configure.py
+++ b/leadslip/configure.py
@@ -119,6 +119,12 @@
         config.enum_of(read_toml(path))
     elif name == "otlp.toml":
         config.otlp_of(read_toml(path))
+    elif name == "logs.toml":
+        config.logs_of(read_toml(path))
+    elif name == "store.toml":
+        config.store_of(read_toml(path))
+    elif name == "trunks.toml":
+        config.trunks_of(read_toml(path), with_store=True)
     else:
         applications_of(read_toml(path))
 
--- a/leadslip/core.py
+++ b/leadslip/core.py
@@ -16,6 +16,8 @@
 from leadslip import interface as face
 from leadslip.checks import Tally
 from leadslip.choice import Controller
+from leadslip.filters import Chain, Filter
+from leadslip.logs import Log
 
 AWAY = (face.Outcome.TIMED_OUT, face.Outcome.CUT, face.Outcome.WITHDRAWN)
 COMPACT_FROM = 1024  # dead deadlines from which on the heap is swept
@@ -142,6 +144,8 @@
         "away_until_ms",
         "guard",
         "taken_ms",
+        "attempt_ms",
+        "passed",
     )
 
     def __init__(
@@ -158,6 +162,8 @@
         self.away_until_ms = 0.0  # nothing may be sent before: what the last attempt held may stay taken
         self.guard: Deadline | None = None
         self.taken_ms = 0.0
+        self.attempt_ms = float("inf")  # the longest that one attempt of it may be out
+        self.passed: tuple[Filter, ...] = ()  # the filters that are told what becomes of it
 
 
 class Attempt:
@@ -203,6 +209,21 @@
     def request_answered(self, request: Request, answer: str, now_ms: float) -> None: ...
 
 
+class Watchers:
+    """Several watchers as one, in order."""
+
+    def __init__(self, *watchers: Watcher) -> None:
+        self.watchers = watchers
+
+    def attempt_ended(self, attempt: Attempt, outcome: face.Outcome, now_ms: float) -> None:
+        for watcher in self.watchers:
+            watcher.attempt_ended(attempt, outcome, now_ms)
+
+    def request_answered(self, request: Request, answer: str, now_ms: float) -> None:
+        for watcher in self.watchers:
+            watcher.request_answered(request, answer, now_ms)
+
+
 class Engine:
     """Holds the requests of one proxy and keeps the rules for each."""
 
@@ -214,18 +235,17 @@
         deadlines: Deadlines,
         far_side: FarSide,
         tally: Tally,
-        log: Callable[[str], None],
+        log: Log,
         most_held: int = 20_000,
         watcher: Watcher | None = None,
-        attempt_ms: float | None = None,
+        attempt_ms: float = float("inf"),
     ) -> None:
         self.settings, self.clock, self.deadlines = settings, clock, deadlines
         self.controller = Controller(settings, seed)
         self.far_side, self.tally, self.log, self.most_held = far_side, tally, log, most_held
         self.watcher = watcher
-        self.attempt_ms = (
-            attempt_ms  # the longest attempt, where a peer's silence must leave time for another
-        )
+        self.attempt_ms = attempt_ms  # the longest, where a peer's silence must leave time for another
+        self.chain = Chain(tally, log)
         self.open: dict[str, Request] = {}
         self.standing: dict[str, Request] = {}
         self.states: dict[str, face.ServerState] = {}
@@ -284,6 +304,11 @@
             self.tally.add("requests.over_most_held")
             self._refuse(request, 0.0)
             return
+        if self.chain.filters:
+            refused = self.chain.admit(request, now_ms)
+            if refused is not None:
+                self._refuse(request, refused.pause_ms)
+                return
         # Guards against a Controller that holds a call for ever: rule 1 does not hang on any decision.
         request.guard = self.deadlines.at(
             max(now_ms, request.valid_until_ms - self.settings.tick_ms), self._overdue, request
@@ -307,6 +332,7 @@
             return  # the answer and the caller's leaving have crossed
         self._close(request)
         self.tally.add("requests.cancelled")
+        self._over(request)
         self._watch(request, "cancelled")
         self._feed(face.CallerLeft(request.id))
         if request.attempt is not None:
@@ -335,6 +361,8 @@
         self.standing[request.id] = request
         self.tally.add("answers.stands")
         now_ms = self.clock.now_ms()
+        if request.passed:
+            self.chain.stood(request, now_ms)
         self._watch(request, "stands")
         request.front.stands(request, payload)
         self._feed(face.CallStands(request.id, attempt.server, attempt.index, now_ms - attempt.sent_ms))
@@ -401,6 +429,8 @@
         if request.state is State.STANDING:
             request.state = State.OVER
             self.standing.pop(request.id, None)
+            if request.passed:
+                self.chain.ended(request, now_ms)
             if tell:
                 request.front.over(request, outcome is not face.Outcome.SERVED)
         self._feed(
@@ -449,7 +479,7 @@
             case face.SetTimer(after_ms, token):
                 self.deadlines.at(self.clock.now_ms() + after_ms, self._timer, token)
             case face.Log(text):
-                self.log(text)
+                self.log("decision", text=text)
             case _:
                 # The list is pushed here; probes and peers are not to be had.
                 self.tally.add("actions.unsupported")
@@ -463,9 +493,8 @@
             return
         if not must(request.attempt is None, "one attempt out"):
             return
-        cut_at_ms = min(cut_at_ms or request.valid_until_ms, request.valid_until_ms)
-        if self.attempt_ms is not None:
-            cut_at_ms = min(cut_at_ms, now_ms + self.attempt_ms)
+        longest_ms = min(self.attempt_ms, request.attempt_ms)
+        cut_at_ms = min(cut_at_ms or request.valid_until_ms, request.valid_until_ms, now_ms + longest_ms)
         attempt = Attempt(request, server, request.tries, now_ms, cut_at_ms)
         request.attempt = attempt
         request.tries += 1
@@ -497,14 +526,21 @@
         self.deadlines.cancel(request.guard)
         self.open.pop(request.id, None)
 
+    def _over(self, request: Request) -> None:
+        """It ends without standing: the filters that passed it are told."""
+        if request.passed:
+            self.chain.ended(request, self.clock.now_ms())
+
     def _refuse(self, request: Request, pause_ms: float) -> None:
         self._close(request)
+        self._over(request)
         self.tally.add("answers.refused")
         self._watch(request, "refused")
         request.front.refused(request, min(max(pause_ms, 0.0), self.settings.max_pause_ms))
 
     def _fail(self, request: Request) -> None:
         self._close(request)
+        self._over(request)
         self.tally.add("answers.failed")
         self._watch(request, "failed")
         request.front.failed(request)
--- a/leadslip/net/enum.py
+++ b/leadslip/net/enum.py
@@ -18,6 +18,7 @@
 from leadslip.checks import Tally
 from leadslip.config import Address, EnumConfig
 from leadslip.core import Attempt, Deadlines, Engine, Request, Watcher
+from leadslip.logs import Log
 from leadslip.net.links import AcceptedLink, AcceptedLinks, MessageError, SliceReceiver
 
 HEADER = struct.Struct("!HBBHHHH")
@@ -38,6 +39,7 @@
 )
 OUTCOMES = {dns.ESERVER: face.Outcome.ERROR, dns.EREFUSED: face.Outcome.FULL}
 Say = Callable[[bytes], None]
+PORTS_DRAWN = 16  # where the system chooses the port, before it is given up
 
 
 def read(data: bytes) -> dns.Message:
@@ -420,7 +422,7 @@
     seed: int,
     deadlines: Deadlines,
     tally: Tally,
-    log: Callable[[str], None],
+    log: Log,
     watcher: Watcher | None = None,
 ) -> Engine:
     """The whole path: askers, engine, resolvers; tells the engine, which drains like any other."""
@@ -439,10 +441,23 @@
         attempt_ms=conf.attempt_ms,
     )
     front.engine = resolvers.engine = engine
-    host, port = conf.listen
-    tcp = reactor.listenTCP(port, EnumLinks(front, conf.most_connections), interface=host)
-    port = tcp.getHost().port  # the one given where the configuration leaves it to the system
-    reactor.listenUDP(port, front, interface=host, maxPacketSize=MOST_DATAGRAM)
+    port = _listen(reactor, conf, front)
     resolvers.start()
-    log(f"ENUM look-ups on {host}:{port}")
+    log("enum.serves", address=f"{conf.listen[0]}:{port}")
     return engine
+
+
+def _listen(reactor: object, conf: EnumConfig, front: EnumFront) -> int:
+    """Listen over TCP and UDP on one port; where the system chooses it, one that is free for both."""
+    host, port = conf.listen
+    for left in reversed(range(1 if port else PORTS_DRAWN)):
+        tcp = reactor.listenTCP(port, EnumLinks(front, conf.most_connections), interface=host)
+        given = tcp.getHost().port
+        try:
+            reactor.listenUDP(given, front, interface=host, maxPacketSize=MOST_DATAGRAM)
+            break
+        except error.CannotListenError:
+            tcp.stopListening()
+            if not left:
+                raise
+    return given
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -85,6 +85,7 @@
                 link, _ = self.socket.accept()
             except OSError:
                 return
+            link.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.links.append(link)
             threading.Thread(target=self._serve, args=(link,), daemon=True).start()
 
@@ -301,9 +302,9 @@
         for line in self.process.stdout:
             self.log.append(line)
             words = line.split()
-            if "ENUM look-ups on" in line:
+            if " enum.serves " in line:
                 self.enum_at = (HOST, int(words[-1].rpartition(":")[2]))
-            if " serves on " in line:
+            if " serves " in line:
                 self.listen = (HOST, int(words[-1].rpartition(":")[2]))
                 break
         self.reader = threading.Thread(target=self._read, daemon=True)
@@ -322,8 +323,8 @@
         self.configure(**changes)
         before = len(self.log)
         self.process.send_signal(signal.SIGHUP)
-        wait_for(lambda: any("its configuration" in line for line in self.log[before:]))
-        return next(line for line in self.log[before:] if "its configuration" in line)
+        wait_for(lambda: any(" reload." in line for line in self.log[before:]))
+        return next(line for line in self.log[before:] if " reload." in line)
 
     def counts(self) -> dict[str, int]:
         """The last counters logged; complete once the program has ended."""
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -6,7 +6,7 @@
 import pytest
 from twisted.internet.task import Clock
 
-from leadslip import choice, core
+from leadslip import choice, core, logs
 from leadslip import interface as face
 from leadslip.checks import Tally
 from tests.helpers import PLAIN, entry, settings
@@ -20,7 +20,7 @@
         self.time, self.tally, self.told, self.sent = Clock(), Tally(), [], []
         self.outcome = None
         self.deadlines = core.Deadlines(self, self.time)
-        self.engine = core.Engine(settings(**changes), 1, self, self.deadlines, self, self.tally, str)
+        self.engine = core.Engine(settings(**changes), 1, self, self.deadlines, self, self.tally, logs.silent)
         listed = tuple(entry(f"s{i}", i) for i in range(servers))
         self.engine.news(face.ListNews(face.NewsKind.WHOLE, listed))
 
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -6,7 +6,7 @@
 from twisted.internet import error
 from twisted.internet.task import Clock
 
-from leadslip import core
+from leadslip import core, logs
 from leadslip import interface as face
 from leadslip.checks import Tally
 from leadslip.net.servers import Servers
@@ -29,7 +29,7 @@
         self.far = Servers(
             self.server, self.tally, self.now_ms, 500.0, lambda call, cut: None, self.deadlines
         )
-        self.engine = core.Engine(settings(), 1, self, self.deadlines, self.far, self.tally, str)
+        self.engine = core.Engine(settings(), 1, self, self.deadlines, self.far, self.tally, logs.silent)
         self.far.engine = self.engine
         self.news(face.NewsKind.WHOLE)
         self.far.look()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -134,7 +134,7 @@
     second, board = SetupServer("answer"), Board()
     wait_for(lambda: program.board.polls)
     board.events += [(1, notice(1)), (2, notice(2, ("s1", second.address, "active")))]
-    assert "took" in program.reload(board=board.address, settings=settings(tick_ms=6.0))
+    assert "reload.taken" in program.reload(board=board.address, settings=settings(tick_ms=6.0))
     wait_for(lambda: second.links)
     assert board.polls == ["1"] and program.board.polls == ["1"]
     program.board.events.append((3, notice(3, ("s1", second.address, "left"))))
