Add trunk dimensioning: loss formulas, measured traffic, sizes, reservation and a store

Need: operations want to confirm, from the traffic that the proxy itself has measured, that trunks stay plentiful.

- leadslip/trunks/losses: Erlang B (continuous too), C, Engset, their inverses, overflow, Wilkinson, Hayward.
- traffic, redials, record, busyhour, report: each interval's attempts, repeats and carried load by group and class, fed by the engine's watcher; repeats that nobody marks are found from a bounded sample of refused numbers.
- sizing, plan: grade of service, modules, growth, confidence limits, groups with overflow at least cost, reservation.
- reservation: the live limit, a filter; off unless configured.
- leadslip/store: SQLite through apsw in WAL mode, one writer's thread, check sums, migration, retention.
- `leadslip trunks`: blocking, wait, size, load, overflow, fresh, reserve, plan, report.

--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,217 @@
+"""The `leadslip` command: figures as JSON, faults in one line, the demo, reports and logs."""
+
+import io
+import json
+import subprocess
+import sys
+
+import pytest
+
+from leadslip import config, logs
+from leadslip.cli import GROUPS, main
+from leadslip.config import MalformedError
+from leadslip.store.base import Store
+from leadslip.trunks import record
+from tests.standins import HOST, PATIENCE_S, ROOT, settings
+from tests.test_trunks import days
+
+
+def told(capsys, *words):
+    """What a command prints, and its exit code."""
+    with pytest.raises(SystemExit) as ended:
+        main(list(words))
+    said = capsys.readouterr()
+    return ended.value.code, said.out, said.err
+
+
+@pytest.mark.parametrize(
+    ("words", "figures"),
+    [
+        ("blocking --erlangs 10 --trunks 15", {"blocking": 0.036497}),
+        ("blocking --erlangs 3 --trunks 2 --sources 6", {"blocking": 10 / 16}),
+        ("blocking --erlangs 10 --trunks 15 --peakedness 1.5", {"blocking": 0.065859}),
+        (
+            "wait --erlangs 10 --trunks 15 --hold-s 180 --over-s 10",
+            {"p_wait": 0.10204, "mean_wait_s": 3.6735},
+        ),
+        ("size --erlangs 10 --blocking 0.01", {"trunks": 18, "blocking": 0.0071424}),
+        ("size --erlangs 10 --blocking 0.01 --module 30", {"trunks": 30}),
+        ("size --erlangs 10 --blocking 0.01 --calls 100", {"trunks": 22, "erlangs": 13.184}),
+        ("load --trunks 30 --blocking 0.01", {"erlangs": 20.3373}),
+        ("overflow --erlangs 8 --trunks 10", {"mean": 0.973289, "peakedness": 2.04015}),
+        ("fresh --carried 8 --blocking 0.2 --persistence 0.5", {"erlangs": 9.0}),
+    ],
+)
+def test_figures_come_as_json(capsys, words, figures):
+    code, out, _ = told(capsys, "trunks", *words.split(), "--json")
+    found = json.loads(out)
+    assert code == 0 and {key: found[key] for key in figures} == pytest.approx(figures, rel=1e-3)
+    code, out, _ = told(capsys, "trunks", *words.split())
+    assert code == 0 and len(out.splitlines()) == len(found)
+
+
+@pytest.mark.parametrize(
+    ("words", "named"),
+    [
+        ("trunks blocking --erlangs 0 --trunks 15", "erlangs"),
+        ("trunks blocking --erlangs ten --trunks 15", "--erlangs"),
+        ("trunks blocking --erlangs 1", "--trunks"),
+        ("trunks wait --erlangs 15 --trunks 15 --hold-s 1", "erlangs must be below trunks"),
+        ("trunks size --erlangs 1 --blocking 2", "blocking"),
+        ("trunks size --erlangs 1 --blocking 0.1 --module 0", "module"),
+        ("trunks report /nowhere/store.db", "there is no store"),
+        ("trunks plan /nowhere/plan.toml", "/nowhere/plan.toml"),
+        ("trunks polish", "polish"),
+        ("polish", "polish"),
+        ("demo --calls 0", "--calls"),
+    ],
+)
+def test_bad_words_are_told_in_one_line_with_exit_code_2(capsys, words, named):
+    code, out, err = told(capsys, *words.split())
+    assert (code, out) == (2, "") and named in err and len(err.splitlines()) == 1
+
+
+def test_help_lists_every_group_and_each_of_them_loads(capsys):
+    assert all(name in told(capsys, "--help")[1] for name in GROUPS)
+    for name in GROUPS:
+        code, out, _ = told(capsys, name, "--help")
+        assert code == 0 and out.startswith("Usage: leadslip")
+
+
+def test_the_demo_shows_calls_stand_be_refused_and_end_and_stops_cleanly():
+    command = [sys.executable, "-m", "leadslip.cli", "demo", "--calls", "6", "--hold-s", "0.7"]
+    done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=60)
+    assert done.returncode == 0, done.stdout
+    last = done.stdout.splitlines()[-1]
+    assert "6 calls" in last and " 0 failed" in last and "stands" in done.stdout and "refused" in done.stdout
+    assert "ended with exit code 0" in done.stdout
+
+
+def test_run_and_configure_are_what_works_without_them(tmp_path):
+    def run(*words):
+        command = [sys.executable, "-m", "leadslip.cli", *words]
+        return subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=PATIENCE_S)
+
+    (tmp_path / "c.json").write_text("{}")
+    done = run("run", "--config", str(tmp_path / "c.json"))
+    assert done.returncode == 2 and done.stderr == "leadslip: settings is missing\n"
+    done = run("configure", "write", "example/applications.toml", str(tmp_path / "out"))
+    files = [str(path) for path in (tmp_path / "out").glob("*/*")]
+    assert done.returncode == 0 and len(done.stdout.splitlines()) == len(files) > 1
+    assert run("configure", "check", *files).returncode == 0
+    assert run("configure", "check", str(tmp_path / "c.json")).returncode == 2
+
+
+@pytest.fixture
+def history(tmp_path):
+    path = str(tmp_path / "leadslip.db")
+    store = Store(path)
+    shape = days(8, lambda day, q: (50.0 if day == 5 else 20.0) if 50 <= q < 54 else 2.0)
+    store.write([record.point_of(one, 1) for i, one in enumerate(shape) if i != 100])
+    store.close()
+    return path
+
+
+def test_the_report_names_the_busy_hour_surges_gaps_and_limits(capsys, history, tmp_path):
+    code, out, _ = told(capsys, "trunks", "report", history, "--json")
+    (north,) = json.loads(out)["groups"]
+    assert code == 0 and north["starts_s"] == 50 * 900 and north["load"] == pytest.approx(20.0)
+    assert north["low"] < 20.0 < north["high"] < 22.0 and len(north["surges"]) == 1
+    assert north["gaps"] == [[1_764_547_200 + 100 * 900, 900]]
+    plot = tmp_path / "days.svg"
+    code, out, _ = told(capsys, "trunks", "report", history, "--busy-hour", "adph", "--plot", str(plot))
+    assert code == 0 and "surge of 50" in out and "not measured for 900 s" in out
+    assert plot.read_text().startswith("<?xml") and "first tries" in plot.read_text()
+    (tmp_path / "plan.toml").write_text('[[group]]\nname = "n"\nmeasured = "north"\ntrunks = 24\n')
+    code, out, _ = told(capsys, "trunks", "plan", str(tmp_path / "plan.toml"), "--store", history, "--json")
+    (planned,) = json.loads(out)["groups"]
+    assert code == 0 and planned["load"] == pytest.approx(north["high"]) and planned["more"] > 0
+    code, _, err = told(capsys, "trunks", "report", history, "--group", "south")
+    assert code == 2 and "south" in err
+
+
+# Logs.
+
+
+def test_plain_lines_read_back_and_levels_are_kept():
+    stream = io.StringIO()
+    log = logs.Plain("info", stream)
+    log("a.b", level="debug", hidden=1)
+    log("a.b", n=3, text='two words "quoted"', ratio=0.25, none="")
+    (line,) = stream.getvalue().splitlines()
+    assert line.split(" ", 1)[1] == 'a.b n=3 text="two words \\"quoted\\"" ratio=0.25 none=""'
+
+
+def test_structured_lines_are_json_or_for_a_person():
+    stream = io.StringIO()
+    log = logs.Structured("json", "info", stream, {"proxy": "n0"})
+    log("serves", address="a:1")
+    log("serves", level="debug")
+    log("reload.refused", level="error", fault="x is missing")
+    first, second = map(json.loads, stream.getvalue().splitlines())
+    assert first.pop("timestamp").endswith("Z")
+    assert first == {"event": "serves", "level": "info", "proxy": "n0", "address": "a:1"}
+    assert second["level"] == "error" and second["fault"] == "x is missing"
+    stream = io.StringIO()
+    logs.Structured("console", "info", stream)("serves", address="a:1")
+    assert "serves" in stream.getvalue() and "address=a:1" in stream.getvalue()
+
+
+@pytest.mark.parametrize(
+    ("read", "given", "key"),
+    [
+        (config.logs_of, {"format": "xml"}, "logs.format"),
+        (config.logs_of, {"level": "loud"}, "logs.level"),
+        (config.logs_of, {"colour": 1}, "logs.colour"),
+        (config.store_of, {"enabled": True}, "store.path"),
+        (config.store_of, {"enabled": True, "path": "/nowhere/at/all.db"}, "store.path"),
+        (config.store_of, {"enabled": True, "path": "x.db", "days": 1}, "store.days"),
+        (config.store_of, {"enabled": True, "path": "x.db", "most_mb": 0}, "store.most_mb"),
+    ],
+)
+def test_settings_of_logs_and_store_name_the_faulty_key(read, given, key):
+    with pytest.raises(MalformedError, match=key):
+        read(given)
+
+
+GROUP = {"name": "n", "destinations": [0], "trunks": 5}
+
+
+@pytest.mark.parametrize(
+    ("given", "key"),
+    [
+        ({"measure": 1}, "trunks.measure"),
+        ({"interval_s": 61}, "trunks.interval_s"),
+        ({"group": {}}, "trunks.group"),
+        ({"group": [3]}, "trunks.group.0 is no table"),
+        ({"group": [GROUP | {"name": "a/b"}]}, "trunks.group.0.name"),
+        ({"group": [GROUP, GROUP]}, "trunks.group.1.name is used twice"),
+        ({"group": [GROUP, GROUP | {"name": "m"}]}, "trunks.group.1.destinations: 0 belongs to 'n'"),
+        ({"group": [GROUP | {"destinations": ["x"]}]}, "trunks.group.0.destinations"),
+        ({"group": [{"name": "n", "destinations": [1]}]}, "trunks.group.0.trunks is missing"),
+        ({"group": [GROUP | {"share": 2}]}, "trunks.group.0.share"),
+        ({"group": [GROUP | {"reserve": {"odd": 1}}]}, "trunks.group.0.reserve.odd is no class"),
+        ({"group": [GROUP | {"reserve": {"plain": 6}}]}, "trunks.group.0.reserve.plain"),
+    ],
+)
+def test_settings_of_trunks_name_the_faulty_key(given, key):
+    with pytest.raises(MalformedError, match=key):
+        config.trunks_of({"enabled": True} | given, True, ["plain", "urgent"])
+    assert config.trunks_of({"enabled": False}, False) is None
+    with pytest.raises(MalformedError, match="needs the store"):
+        config.trunks_of({"enabled": True}, False)
+    good = config.trunks_of({"enabled": True, "group": [GROUP | {"share": 0.5}]}, True)
+    assert good.groups[0].trunks == 2.5
+
+
+def test_a_fault_in_any_file_ends_the_program_with_2_and_its_key(tmp_path):
+    conf = {"name": "n", "listen": f"{HOST}:0", "seed": "1", "board": f"{HOST}:1", "settings": settings()}
+    (tmp_path / "c.json").write_text(json.dumps(conf | {"known": {"rev": 1, "notices": []}}))
+    (tmp_path / "trunks.toml").write_text("enabled = true\n")
+    environ = {"NODE_CONFIG": str(tmp_path / "c.json"), "LEADSLIP_TRUNKS": str(tmp_path / "trunks.toml")}
+    command = [sys.executable, "-m", "leadslip"]
+    done = subprocess.run(command, cwd=ROOT, env=environ, capture_output=True, text=True, timeout=PATIENCE_S)
+    assert (
+        done.returncode == 2
+        and done.stderr.strip() == "leadslip: trunks.measure needs the store to be turned on"
+    )
