--- a/leadslip/cli/trunks.py
+++ b/leadslip/cli/trunks.py
@@ -8,7 +8,8 @@
 import click
 
 from leadslip.cli.told import as_json, faults, table, tell
-from leadslip.trunks import losses, plan, redials, sizing
+from leadslip.trunks import losses, plan, sizing
+from leadslip.trunks import redials as again
 from leadslip.trunks.losses import LossError
 
 bad_figures = faults(LossError)
@@ -26,13 +27,25 @@
 @trunks_option
 @click.option("--sources", type=int, help="So many sources alone offer the load (Engset).")
 @click.option("--peakedness", type=float, default=1.0, help="Variance of the load over its mean.")
+@click.option("--persistence", type=float, default=0.0, help="The part of the lost that is dialled again.")
+@click.option("--redials", type=int, default=2, help="How often at most.")
 @as_json
 @bad_figures
-def blocking(erlangs: float, trunks_: int, sources: int | None, peakedness: float, json_: bool) -> None:
-    """The part of the calls that is lost (Erlang B; Engset or Hayward where asked)."""
-    if sources is not None:
-        if peakedness != 1.0:
-            raise LossError("peakedness can't be set along with sources")
+def blocking(
+    erlangs: float,
+    trunks_: int,
+    sources: int | None,
+    peakedness: float,
+    persistence: float,
+    redials: int,
+    json_: bool,
+) -> None:
+    """The part of the attempts that is lost (Erlang B; Engset, Hayward or redials where asked)."""
+    if (sources is not None) + (peakedness != 1.0) + (persistence != 0.0) > 1:
+        raise LossError("sources, peakedness and persistence exclude one another")
+    if persistence:
+        lost, erlangs = again.with_redials(trunks_, erlangs, persistence, redials)
+    elif sources is not None:
         lost = losses.engset(trunks_, sources, erlangs)
     elif peakedness != 1.0:
         lost = losses.hayward_blocking(trunks_, erlangs, peakedness)
@@ -127,7 +140,7 @@
 @bad_figures
 def fresh(carried: float, lost: float, persistence: float, json_: bool) -> None:
     """The load offered for the first time, redials left out (ITU-T E.501)."""
-    tell({"erlangs": redials.fresh_load(carried, lost, persistence)}, json_)
+    tell({"erlangs": again.fresh_load(carried, lost, persistence)}, json_)
 
 
 @trunks.command()
@@ -217,7 +230,10 @@
     except (StoreError, LossError) as fault:
         raise click.UsageError(str(fault)) from fault
     if plot is not None:
-        report.draw(quarters, [one.group for one in found], plot)
+        try:
+            report.draw(quarters, [one.group for one in found], plot)
+        except ImportError as fault:
+            raise click.UsageError(f"--plot needs the extra leadslip[plots]: {fault}") from fault
     lines = table(
         (
             "group",
--- a/leadslip/config.py
+++ b/leadslip/config.py
@@ -476,9 +476,8 @@
     if not _turned_on(told, "store", ("path", *STORE_KEYS)):
         return None
     path = str(member(told, "path", str, "store"))
-    folder = os.path.dirname(path) or "."
-    if not path or os.path.isdir(path) or not os.path.isdir(folder):
-        raise MalformedError(f"store.path is no file in a folder that is there: {path!r}")
+    if not path or path.endswith("/"):
+        raise MalformedError(f"store.path is no file: {path!r}")
     figures = _figures(told, "store", STORE_KEYS)
     if figures["days"] < figures["fine_days"]:
         raise MalformedError(f"store.days must not be below fine_days: {figures['days']}")
@@ -599,7 +598,12 @@
 
 def load_store(environ: Mapping[str, str] = os.environ) -> StoreConfig | None:
     """The store's configuration; off where there is none."""
-    return store_of(_optional(environ, "LEADSLIP_STORE", "deploy/store.toml"))
+    conf = store_of(_optional(environ, "LEADSLIP_STORE", "deploy/store.toml"))
+    if conf is not None and (
+        os.path.isdir(conf.path) or not os.path.isdir(os.path.dirname(conf.path) or ".")
+    ):
+        raise MalformedError(f"store.path is no file in a folder that is there: {conf.path!r}")
+    return conf
 
 
 def load_trunks(
--- a/leadslip/configure.py
+++ b/leadslip/configure.py
@@ -4,7 +4,8 @@
     python -m leadslip.configure check FILE ...
 
 An applications file names what the sidecars share and lists an [[application]] for each; `write` makes a JSON
-configuration and, where look-ups are wanted, an ENUM file for each. `check` takes such files, one or many.
+configuration and, where they are wanted, files for look-ups, export, logs, store and trunks for each. `check` takes
+such files, one or many.
 """
 
 from __future__ import annotations
@@ -21,7 +22,8 @@
 from leadslip import config
 from leadslip.config import MalformedError
 
-SHARED = ("board", "settings", "limits", "servers", "enum", "otlp")
+FILES = ("enum", "otlp", "logs", "store", "trunks")  # each a TOML file of its own beside config.json
+SHARED = ("board", "settings", "limits", "servers", *FILES)
 OWN = ("name", "listen", *SHARED)
 ENTRY_KEYS = ("uid", "endpoint", "az", "pod_group")
 
@@ -59,7 +61,7 @@
     if not isinstance(listed, list) or not listed:
         raise MalformedError("application is missing")
     done: dict[str, dict] = {}
-    listening: dict[str, str] = {}
+    taken: dict[str, str] = {}
     for i, own in enumerate(listed):
         at = f"application.{i}"
         for key in own:
@@ -75,23 +77,41 @@
         full["seed"] = secrets.token_hex(8)
         try:
             full["known"] = notices_of(merged.get("servers", []))
-            config.config_of(full)
+            conf = config.config_of(full)
             config.enum_of(merged.get("enum", {}))
             config.otlp_of(merged.get("otlp", {}))
+            config.logs_of(merged.get("logs", {}))
+            store = config.store_of(merged.get("store", {}))
+            classes = [kind.name for kind in conf.settings.classes]
+            config.trunks_of(merged.get("trunks", {}), store is not None, classes)
         except MalformedError as fault:
             raise MalformedError(f"{at} ({name}): {fault}") from fault
-        for where in (full["listen"], merged.get("enum", {}).get("listen")):
-            if where in listening:
-                raise MalformedError(f"{at}.listen is taken by {listening[where]}: {where}")
+        held = (
+            ("listen", full["listen"]),
+            ("enum.listen", merged.get("enum", {}).get("listen")),
+            ("store.path", store and store.path),  # two writers of one file would hold each other up
+        )
+        for key, where in held:
+            if where in taken:
+                raise MalformedError(f"{at}.{key} is taken by {taken[where]}: {where}")
             if where is not None:
-                listening[where] = name
-        done[name] = {"config": full, "enum": merged.get("enum"), "otlp": merged.get("otlp")}
+                taken[where] = name
+        done[name] = {"config": full} | {kind: merged.get(kind) for kind in FILES}
     return done
 
 
-def toml_of(table: Mapping) -> str:
-    """A flat table as TOML; JSON's strings, numbers, booleans and lists of them are TOML's as well."""
-    return "".join(f"{key} = {json.dumps(value)}\n" for key, value in table.items())
+def toml_of(table: Mapping, path: str = "") -> str:
+    """A table as TOML; JSON's strings, numbers, booleans and lists of them are TOML's as well."""
+    plain, below = [], []
+    for key, value in table.items():
+        name = f"{path}{key}"
+        if isinstance(value, Mapping):
+            below.append(f"[{name}]\n{toml_of(value, f'{name}.')}")
+        elif isinstance(value, list) and value and all(isinstance(one, Mapping) for one in value):
+            below += [f"[[{name}]]\n{toml_of(one, f'{name}.')}" for one in value]
+        else:
+            plain.append(f"{key} = {json.dumps(value)}\n")
+    return "".join(plain + below)
 
 
 def write(source: str, folder: str) -> list[Path]:
@@ -101,7 +121,7 @@
         place = Path(folder) / name
         place.mkdir(parents=True, exist_ok=True)
         files = {"config.json": json.dumps(parts["config"], indent=1) + "\n"}
-        files |= {f"{kind}.toml": toml_of(parts[kind]) for kind in ("enum", "otlp") if parts[kind]}
+        files |= {f"{kind}.toml": toml_of(parts[kind]) for kind in FILES if parts[kind]}
         for file, text in files.items():
             draft = place / f".{file}.new"
             draft.write_text(text, encoding="utf-8")
--- a/leadslip/logs.py
+++ b/leadslip/logs.py
@@ -11,6 +11,7 @@
 import sys
 import time
 from collections.abc import Mapping
+from contextlib import suppress
 from typing import Protocol, TextIO
 
 LEVELS = {"debug": 10, "info": 20, "warning": 30, "error": 40}
@@ -43,7 +44,9 @@
     def __call__(self, event: str, level: str = "info", **fields: object) -> None:
         if LEVELS[level] >= self.least:
             told = "".join(f" {key}={plain_field(value)}" for key, value in fields.items())
-            print(f"{time.time():.3f} {event}{told}", file=self.stream or sys.stdout, flush=True)
+            # Guards against a log that nobody reads any more ending what logs: a drain, a report, a reload.
+            with suppress(OSError):
+                print(f"{time.time():.3f} {event}{told}", file=self.stream or sys.stdout, flush=True)
 
 
 class Structured:
@@ -71,7 +74,8 @@
         )
 
     def __call__(self, event: str, level: str = "info", **fields: object) -> None:
-        getattr(self.log, level)(event, **fields)
+        with suppress(OSError):
+            getattr(self.log, level)(event, **fields)
 
 
 def open_log(format_: str = "plain", level: str = "info", name: str = "") -> Log:
--- a/leadslip/trunks/losses.py
+++ b/leadslip/trunks/losses.py
@@ -17,6 +17,7 @@
 LEAST_LOAD, MOST_LOAD = 1e-6, 1e5
 EPSILON = 1e-15
 TINY = 1e-300
+RECURSION_LOAD = 500.0  # erlangs up to which sizing by the recursion from no trunk on is the quicker way
 HALVINGS = 200  # more than a double has bits between any two bounds
 
 
@@ -144,7 +145,15 @@
 def trunks_for(erlangs: float, blocking: float) -> int:
     """The fewest whole trunks on which no more than that part of the calls is lost."""
     load, goal = _load(erlangs), _chance("blocking", blocking)
-    return _fewest(lambda n: _erlang_b(n, load) <= goal, "blocking", load)
+    # No fewer than carry the load, so the recursion is begun there; to small groups it is quicker from none on.
+    n = min(MOST_TRUNKS, int(load * (1.0 - goal))) if load > RECURSION_LOAD else 0
+    lost = _erlang_b(n, load) if n else 1.0
+    while lost > goal:
+        if n >= MOST_TRUNKS:
+            raise LossError(f"blocking is not reached with {MOST_TRUNKS} trunks")
+        n += 1
+        lost = load * lost / (n + load * lost)
+    return n
 
 
 def _fewest(enough: Callable[[int], bool], name: str, near: float) -> int:
@@ -167,7 +176,7 @@
 def trunks_for_exactly(erlangs: float, blocking: float) -> float:
     """The number of trunks, not whole, on which exactly that part of the calls is lost."""
     load, goal = _load(erlangs), _chance("blocking", blocking)
-    return _root(lambda x: goal - _erlang_b(x, load), 0.0, float(trunks_for(load, goal)))
+    return root(lambda x: goal - _erlang_b(x, load), 0.0, float(trunks_for(load, goal)))
 
 
 def load_for(trunks: float, blocking: float) -> float:
@@ -179,10 +188,10 @@
         raise LossError(
             f"blocking of {blocking!r} is met by no load between {LEAST_LOAD:g} and {MOST_LOAD:g}"
         )
-    return _root(lambda load: _erlang_b(x, load) - goal, LEAST_LOAD, MOST_LOAD, by_ratio=True)
+    return root(lambda load: _erlang_b(x, load) - goal, LEAST_LOAD, MOST_LOAD, by_ratio=True)
 
 
-def _root(
+def root(
     rising: Callable[[float], float], low: float, high: float, by_ratio: bool = False, most: int = HALVINGS
 ) -> float:
     """Where a rising function crosses nought between two bounds: false position (Illinois) with halving between.
@@ -254,7 +263,7 @@
     most = min(MOST_LOAD, n * (1.0 - 1e-12))
     if n < 1 or wait_over(n, most, hold_s, over_s) < goal or wait_over(n, LEAST_LOAD, hold_s, over_s) > goal:
         raise LossError(f"part of {part!r} is met by no load on {trunks!r} trunks")
-    return _root(lambda load: wait_over(n, load, hold_s, over_s) - goal, LEAST_LOAD, most, by_ratio=True)
+    return root(lambda load: wait_over(n, load, hold_s, over_s) - goal, LEAST_LOAD, most, by_ratio=True)
 
 
 # Engset: few sources.
@@ -308,7 +317,7 @@
         raise LossError(
             f"blocking of {blocking!r} is met by no load of {sources!r} sources on {trunks!r} trunks"
         )
-    return _root(lambda load: engset(n, s, load) - goal, LEAST_LOAD, most, by_ratio=True)
+    return root(lambda load: engset(n, s, load) - goal, LEAST_LOAD, most, by_ratio=True)
 
 
 # Overflow and peaked traffic.
@@ -340,7 +349,7 @@
         high *= 2.0
         if trunks(high) > MOST_TRUNKS or high > MOST_LOAD:
             raise LossError(f"variance of {variance!r} for a mean of {mean!r} has no equivalent in bounds")
-    load = _root(excess, mean, high)
+    load = root(excess, mean, high)
     return load, trunks(load)
 
 
--- a/leadslip/trunks/redials.py
+++ b/leadslip/trunks/redials.py
@@ -15,7 +15,7 @@
 
 from collections import OrderedDict
 
-from leadslip.trunks.losses import check
+from leadslip.trunks.losses import MOST_LOAD, check, erlang_b, root
 
 WINDOW_MS = 60_000.0  # a repeat comes within so long; later ones count as calls anew
 MOST_SAMPLED = 2048  # refused numbers remembered at a time
@@ -35,6 +35,31 @@
     return carried * (1.0 - persistence * blocking) / (1.0 - blocking)
 
 
+def with_redials(trunks: float, erlangs: float, persistence: float, most: int) -> tuple[float, float]:
+    """The part of all attempts lost, and the load of all attempts, where the lost are dialled again.
+
+    `erlangs` are those of first tries; each lost try is dialled again with chance `persistence`, up to `most` times.
+    Redials are taken to come back at random, after waits that are long against the holding time; those that come
+    back at once meet the same full group, and more is lost than this says.
+    """
+    check("persistence", persistence, 0.0, 1.0)
+    check("redials", most, 0, 1000)
+    low, high = erlangs, min(MOST_LOAD, erlangs * (1.0 + most))
+    if high == low:
+        return erlang_b(trunks, erlangs), erlangs
+
+    def excess(load: float) -> float:
+        again = persistence * erlang_b(trunks, load)
+        tries, total = 1.0, 1.0
+        for _ in range(most):
+            tries *= again
+            total += tries
+        return load - erlangs * total
+
+    load = root(excess, low, high)
+    return erlang_b(trunks, load), load
+
+
 class Sampled:
     """Numbers refused of late, and how many of them were dialled again.
 
--- a/tests/standin_trunks.py
+++ b/tests/standin_trunks.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import heapq
+import socket
 from collections.abc import Callable
 from random import Random
 
@@ -16,6 +17,7 @@
 from leadslip import interface as face
 from leadslip.checks import Tally
 from tests.helpers import URGENT, entry, settings
+from tests.standins import SetupServer, binary
 
 START_S = 1_000_000.0
 
@@ -168,3 +170,26 @@
     for name in trunks.sizes:
         engine.looked(name, trunks.load(name))
     return world, engine, trunks
+
+
+class TrunkServer(SetupServer):
+    """The same over sockets: N circuits, each call standing until it is told to end."""
+
+    def __init__(self, circuits: int) -> None:
+        self.circuits, self.standing = circuits, set()
+        super().__init__()
+
+    def report(self) -> bytes:
+        return b"x0:%d;x1:%d" % (self.circuits - len(self.standing), self.circuits)
+
+    def answer(self, link: socket.socket, call: bytes, told: dict[int, bytes]) -> None:
+        if len(self.standing) >= self.circuits:
+            link.sendall(binary(12, call, (61, b"\x22"), (47, b"no_circuit"), (51, self.report())))
+            return
+        self.standing.add(call)
+        link.sendall(binary(9, call, (63, b"sdp"), (51, self.report())))
+
+    def release(self, id_: str) -> None:
+        call = bytes.fromhex(id_)
+        self.standing.remove(call)
+        self.links[-1].sendall(binary(12, call, (61, b"\x10"), (51, self.report())))
