--- a/leadslip/__main__.py
+++ b/leadslip/__main__.py
@@ -161,7 +161,8 @@
 
             site = Site(self.deadlines, self.tally, self.readiness.ready, self.counters, self.out, self.back)
             ops_host, ops_port = self.conf.ops
-            reactor.listenTCP(ops_port, site, backlog=64, interface=ops_host)
+            ops_port = reactor.listenTCP(ops_port, site, backlog=64, interface=ops_host).getHost().port
+            self.log("ops.serves", address=f"{ops_host}:{ops_port}")
         self.servers.look()
         self.board.poll()
         if self.exporter is not None:
--- a/leadslip/net/ops.py
+++ b/leadslip/net/ops.py
@@ -40,6 +40,9 @@
         self.methods = methods
 
     def render(self, request: server.Request) -> bytes:
+        if request.postpath:
+            request.setResponseCode(http.NOT_FOUND)
+            return b"no such call\n"
         act = self.methods.get(request.method)
         if act is None:
             request.setResponseCode(http.NOT_ALLOWED)
@@ -105,7 +108,7 @@
     def too_late(self, _: object = None) -> None:
         if self.transport is not None and self.transport.connected:
             self.site.tally.add("ops.stalled")
-            self.transport.abortConnection()
+            self.transport.loseConnection()
 
 
 class Site(server.Site):
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import http.client
 import json
 import os
 import signal
@@ -301,10 +302,12 @@
             text=True,
         )
         self.log: list[str] = []
-        self.listen = self.enum_at = ("", 0)
+        self.listen = self.enum_at = self.ops = ("", 0)
         for line in self.process.stdout:
             self.log.append(line)
             words = line.split()
+            if " ops.serves " in line:
+                self.ops = (HOST, int(words[-1].rpartition(":")[2]))
             if " enum.serves " in line:
                 self.enum_at = (HOST, int(words[-1].rpartition(":")[2]))
             if " serves " in line:
@@ -334,6 +337,16 @@
         line = [line for line in self.log if " counts" in line][-1]
         return {k: int(v) for k, v in (part.split("=") for part in line.split(" counts")[1].split())}
 
+    def call(self, method: str, path: str, body: bytes = b"") -> tuple[int, bytes]:
+        """One call on the operators' address: status and body."""
+        link = http.client.HTTPConnection(*self.ops, timeout=PATIENCE_S)
+        try:
+            link.request(method, path, body=body)
+            answer = link.getresponse()
+            return answer.status, answer.read()
+        finally:
+            link.close()
+
     def stop(self) -> int:
         """SIGTERM, and the exit code."""
         if self.process.poll() is None:
