--- a/leadslip/net/clients.py
+++ b/leadslip/net/clients.py
@@ -25,7 +25,9 @@
 
 
 SWEEP_MS = 100.0  # between two looks for connections to close while clients are sent away
-STILL_USED_MS = 900.0  # a caller that sends set-ups so long after SIGTERM shares the address with a new process
+STILL_USED_MS = (
+    900.0  # a caller that sends set-ups so long after SIGTERM shares the address with a new process
+)
 LONGEST_WAIT = 10.0  # longest deadlines that a caller may say it waits; more is no figure to go by
 MOST_LINES = 1000.0  # that a call may take
 
