Count the operators' figures where the engine decides, and serve them

Change: leadslip/counters.py (no I/O) is told by the engine of each answer by class (ok, shed, errors) and of each set-up that the far side has written whole (tries); active is read from the engine when printed; the far side tells pool_size (listed, not gone) and pool_ejected (last dial failed, no connection up); SIGHUP counts config_applied and config_rejected. GET /control/counters prints them as proxy.NAME=VALUE lines.

--- a/leadslip/__main__.py
+++ b/leadslip/__main__.py
@@ -15,6 +15,7 @@
 from leadslip import config
 from leadslip.checks import Tally
 from leadslip.core import Deadlines, Engine, Watcher, Watchers
+from leadslip.counters import Counters
 from leadslip.logs import Log, open_log
 from leadslip.net import enum
 from leadslip.net.board import Board
@@ -112,6 +113,7 @@
         self.servers = Servers(
             reactor, self.tally, self.clock.now_ms, conf.dial_timeout_ms, self.unknown_end, self.deadlines
         )
+        self.figures = Counters()
         self.engine = self.servers.engine = Engine(
             conf.settings,
             conf.seed,
@@ -122,7 +124,10 @@
             log,
             conf.most_held,
             self.watches[0],
+            counters=self.figures,
         )
+        self.figures.watch("pool_size", self.servers.listed_count)
+        self.figures.watch("pool_ejected", self.servers.avoided)
         self.engines = [self.engine]
         self.reservation = None
         self.filter()
@@ -187,8 +192,8 @@
         self.engine.news(notice.news)
 
     def counters(self) -> bytes:
-        """The figures for operators; the next commit counts them."""
-        return b""
+        """The figures for operators."""
+        return self.figures.text()
 
     def out(self) -> None:
         """Operators send clients away; the process goes on."""
@@ -221,11 +226,13 @@
                 if now != then:
                     raise config.MalformedError(f"{key} can't change without a restart")
         except config.MalformedError as fault:
+            self.figures.config_rejected += 1
             self.tally.add("reloads.rejected")
             self.log("reload.refused", level="error", fault=str(fault))
             return
         old, self.conf, self.wanted = self.conf, conf, wanted
         self.filter()
+        self.figures.config_applied += 1
         self.tally.add("reloads")
         if (conf.settings, conf.most_held) != (old.settings, old.most_held):
             self.engine.adopt(conf.settings, conf.most_held)
--- a/leadslip/core.py
+++ b/leadslip/core.py
@@ -16,6 +16,7 @@
 from leadslip import interface as face
 from leadslip.checks import Tally
 from leadslip.choice import Controller
+from leadslip.counters import Counters
 from leadslip.filters import Chain, Filter
 from leadslip.logs import Log
 
@@ -239,11 +240,15 @@
         most_held: int = 20_000,
         watcher: Watcher | None = None,
         attempt_ms: float = float("inf"),
+        counters: Counters | None = None,
     ) -> None:
         self.settings, self.clock, self.deadlines = settings, clock, deadlines
         self.controller = Controller(settings, seed)
         self.far_side, self.tally, self.log, self.most_held = far_side, tally, log, most_held
         self.watcher = watcher
+        self.counters = counters or Counters()
+        self.counters.count_classes(kind.name for kind in settings.classes)
+        self.counters.watch("active", self.active)
         self.attempt_ms = attempt_ms  # the longest, where a peer's silence must leave time for another
         self.chain = Chain(tally, log)
         self.open: dict[str, Request] = {}
@@ -257,6 +262,7 @@
         """Take settings that have changed while running; requests already held keep their own deadlines."""
         self.settings, self.most_held = settings, most_held
         self.controller.adopt(settings)
+        self.counters.count_classes(kind.name for kind in settings.classes)
 
     def settle(self) -> None:
         """Answer all that is open now, since nothing can be answered later."""
@@ -297,6 +303,7 @@
             # An id must not come twice; the second asker still gets an answer, the first keeps its call.
             self.tally.add("requests.doubled")
             request.state = State.OVER
+            self.counters.answered(request.call_class, "errors")
             request.front.failed(request)
             return
         self.open[request.id] = request
@@ -360,6 +367,7 @@
         request.state = State.STANDING
         self.standing[request.id] = request
         self.tally.add("answers.stands")
+        self.counters.answered(request.call_class, "ok")
         now_ms = self.clock.now_ms()
         if request.passed:
             self.chain.stood(request, now_ms)
@@ -396,6 +404,14 @@
             self._feed(face.CallerLeft(request.id))
         self.ended(attempt, face.Outcome.CUT)
 
+    def active(self) -> int:
+        """Requests taken and not yet ended: open, or answered with a call that stands."""
+        return len(self.open) + len(self.standing)
+
+    def written(self, attempt: Attempt) -> None:
+        """The far side has written an attempt's set-up whole to its server: a try."""
+        self.counters.tried(attempt.request.call_class)
+
     def looked(self, server: str, load: face.Load) -> None:
         """Unasked news of a server's lines."""
         self._feed(face.ServerLooked(server, face.Outcome.SERVED, 0.0, load))
@@ -535,6 +551,7 @@
         self._close(request)
         self._over(request)
         self.tally.add("answers.refused")
+        self.counters.answered(request.call_class, "shed")
         self._watch(request, "refused")
         request.front.refused(request, min(max(pause_ms, 0.0), self.settings.max_pause_ms))
 
@@ -542,6 +559,7 @@
         self._close(request)
         self._over(request)
         self.tally.add("answers.failed")
+        self.counters.answered(request.call_class, "errors")
         self._watch(request, "failed")
         request.front.failed(request)
 
--- a/leadslip/net/servers.py
+++ b/leadslip/net/servers.py
@@ -170,6 +170,7 @@
         self.retired: list[ServerLink] = []
         self.owed_ms = 0.0  # a connection opened later is owed: what was lost is told there; 0: none
         self.unsaid: list[bytes] = []  # releases that wait for a connection
+        self.down = False  # the last dial was refused or unanswered, and no connection has come up since
         self.links = ServerLinks(self)
 
     # What the engine asks.
@@ -197,7 +198,7 @@
         left_ms = max(1, int(attempt.cut_at_ms - far.now_ms()))
         self.calls[call] = link.set_ups[call] = attempt
         self.on[call] = link
-        link.say(
+        written = link.say(
             message(
                 SET_UP,
                 call,
@@ -207,6 +208,8 @@
                 (DESCRIPTION, request.payload),
             )
         )
+        if written:
+            far.engine.written(attempt)
         return None
 
     def end(self, attempt: Attempt) -> None:
@@ -267,7 +270,7 @@
 
     def _use(self, link: ServerLink) -> None:
         """Send on this connection too from now on; those before it may still bring what is out on them."""
-        self.new = None
+        self.new, self.down = None, False
         idle = [held for held in self.up if not held.set_ups]
         quiet_ms = self.far.now_ms() - QUIET_MS
         spare = [held for held in idle if held.heard_ms < quiet_ms]
@@ -295,6 +298,7 @@
 
     def dial_failed(self, refused: bool) -> None:
         self.dialling = False
+        self.down = True
         self.far.tally.add("servers.refused" if refused else "servers.unreachable")
         self._nothing_sent()
         quiet_ms = self.far.now_ms() - self.heard_ms
@@ -516,6 +520,17 @@
             server.look(now_ms)
         self.deadlines.at(now_ms + LOOK_MS, self.look)
 
+    def listed_count(self) -> int:
+        """Servers in the list: not told to be gone."""
+        return sum(server.state is not face.ServerState.GONE for server in self.servers.values())
+
+    def avoided(self) -> int:
+        """Listed servers that set-ups can't reach now: their last dial failed, and no connection is up."""
+        return sum(
+            server.down and not server.up and server.state is not face.ServerState.GONE
+            for server in self.servers.values()
+        )
+
     def tidy(self, server: Server) -> None:
         """A server that has left is forgotten once nothing is open there."""
         if server.state is face.ServerState.GONE and not server.calls:
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -5,7 +5,7 @@
 import pytest
 
 from leadslip.readiness import Readiness
-from tests.standins import HOST, PATIENCE_S, Caller, Program, SetupServer
+from tests.standins import HOST, PATIENCE_S, Caller, Program, SetupServer, wait_for
 from tests.test_program import FIRST, SECOND
 
 OPS = {"ops": f"{HOST}:0"}
@@ -161,3 +161,29 @@
     for i in range(120, 140):
         one_call(i)
     assert answered == ["SIP/2.0 200 OK"] * 140
+
+
+def figures_of(proxy: Program) -> dict[str, int]:
+    status, body = proxy.call("GET", "/control/counters")
+    assert status == 200
+    return {name: int(value) for name, value in (line.split("=") for line in body.decode().splitlines())}
+
+
+def test_the_figures_count_answers_tries_what_is_held_and_reloads(program):
+    proxy, (server,) = program("hold")
+    caller = Caller(proxy)
+    caller.invite(FIRST)
+    assert caller.hear()[0] == "SIP/2.0 200 OK"
+    caller.invite(SECOND, kind="no such class")
+    assert caller.hear()[0] == "SIP/2.0 503 Service Unavailable"
+    told = figures_of(proxy)
+    assert (told["proxy.responses.plain.ok"], told["proxy.responses.plain.tries"]) == (1, 1)
+    assert (told["proxy.active"], told["proxy.pool_size"], told["proxy.pool_ejected"]) == (1, 1, 0)
+    assert "reload.taken" in proxy.reload()
+    assert "reload.refused" in proxy.reload(board="nowhere")
+    server.release_all()
+    caller.hear()
+    wait_for(lambda: figures_of(proxy)["proxy.active"] == 0)
+    told = figures_of(proxy)
+    assert (told["proxy.config_applied"], told["proxy.config_rejected"]) == (1, 1)
+    assert not [name for name in told if "no such class" in name]
