Retune at SIGHUP whole or not at all, and close drained connections only under no set-up

A deadline of -5 was taken (only attempts were checked), and a key that went missing would have been filled with its default.

Change: config.reload refuses a revision that lacks a key of the running file as written (before NODE_* fill gaps), a class that lacks a key all running classes hold, and a deadline that is not positive; the Controller checks settings before anything changes (ValueError is a refusal).

Now it peeks at the socket and at half-read messages first, leaves a new connection 100 ms for its first word, and closes every connection once free in the last 400 ms before the exit.

--- a/leadslip/__main__.py
+++ b/leadslip/__main__.py
@@ -31,6 +31,7 @@
 LONGEST_COUNTED_MS = 3000.0  # SIGKILL may follow after the longest deadline, counted as this at the most ...
 KILLED_AFTER_MS = 700.0  # ... and so much more
 MARGIN_MS = 200.0  # to be out before it
+LAST_SWEEP_MS = 400.0  # before the exit, every connection is closed once it owes no answer
 TALLY_EVERY_MS = 10_000.0
 
 
@@ -225,7 +226,9 @@
             for (key, now), (_, then) in zip(wanted.fixed(), self.wanted.fixed(), strict=True):
                 if now != then:
                     raise config.MalformedError(f"{key} can't change without a restart")
-        except config.MalformedError as fault:
+            if (conf.settings, conf.most_held) != (self.conf.settings, self.conf.most_held):
+                self.engine.adopt(conf.settings, conf.most_held)  # first, as the Controller may refuse them
+        except (config.MalformedError, ValueError) as fault:
             self.figures.config_rejected += 1
             self.tally.add("reloads.rejected")
             self.log("reload.refused", level="error", fault=str(fault))
@@ -234,8 +237,6 @@
         self.filter()
         self.figures.config_applied += 1
         self.tally.add("reloads")
-        if (conf.settings, conf.most_held) != (old.settings, old.most_held):
-            self.engine.adopt(conf.settings, conf.most_held)
         self.servers.dial_timeout_s = conf.dial_timeout_ms / 1000.0
         self.clients.accepted.most = most_links(conf)
         for notice in conf.notices:
@@ -265,6 +266,11 @@
         # What stands can be told only on a connection from callers; once none is left, the servers tell its end
         # to whoever else they serve, a new process beside this one among them.
         held = any(engine.open for engine in self.engines) or (self.engine.standing and self.clients.links)
+        if now_ms >= last_ms - LAST_SWEEP_MS:
+            # Guards against connections that the exit would end under a set-up: each is closed once it is free,
+            # so that what crosses the close is sent again by its caller.
+            for link in self.clients.links:
+                link.still_used = True
         if now_ms >= last_ms or (now_ms >= ending_ms + DRAIN_MS and not held):
             self.board.stop()
             for engine in self.engines:
--- a/leadslip/choice.py
+++ b/leadslip/choice.py
@@ -68,9 +68,9 @@
 class _Call:
     """One call that this gateway owes an answer."""
 
-    def __init__(self, offered: face.CallOffered, kind: face.CallClass) -> None:
+    def __init__(self, offered: face.CallOffered, kind: face.CallClass, most: int) -> None:
         self.offered, self.kind = offered, kind
-        self.attempts = 0
+        self.attempts, self.most = 0, most  # its bound of attempts stays when settings change
         self.at: _Server | None = None  # where its attempt is out
         self.stands = self.may_have_run = False
         self.been: list[str] = []  # servers that failed it
@@ -272,7 +272,7 @@
         for tenant, asked in self.asked.items():
             self.asked[tenant] = asked + ((tenant == offered.tenant) - asked) / WORTH_CALLS
         self.offered[offered.destination] = self.offered.get(offered.destination, 0) + 1
-        call = self.calls[offered.call] = _Call(offered, kind)
+        call = self.calls[offered.call] = _Call(offered, kind, self.settings.max_attempts)
         self._decide(now_ms, call)
 
     def _decide(self, now_ms: float, call: _Call) -> None:
@@ -293,7 +293,7 @@
                 return
             self.busy[call.offered.number_called] = now_ms + BUSY_MS
         server = None
-        if call.attempts < self.settings.max_attempts and now_ms < cut_ms:
+        if call.attempts < call.most and now_ms < cut_ms:
             server = self._route(now_ms, call)
         if server is None or unsafe or self._refused(now_ms, call, server):
             self._finish(call, failed=unsafe)
--- a/leadslip/config.py
+++ b/leadslip/config.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import ipaddress
 import json
 import math
@@ -210,6 +211,8 @@
     settings: face.Settings
     dial_timeout_ms: float
     most_held: int
+    keys: frozenset[str] = frozenset()  # the keys of the file as written, but for events and classes
+    class_shapes: tuple[frozenset[str], ...] = ()  # the keys of each class of the file
 
 
 @dataclass(frozen=True, slots=True)
@@ -350,7 +353,7 @@
         settings = settings_of(flat)
         if whole(flat, "services.count") < 1:
             raise MalformedError("services is empty")
-        for key in POSITIVE:
+        for key in POSITIVE + tuple(f"services.{i}.deadline_ms" for i in range(len(settings.classes))):
             if key in flat and not number(flat, key) > 0:
                 raise MalformedError(f"{key} must be above 0: {flat[key]}")
         if settings.cold_fraction > 1:
@@ -631,11 +634,26 @@
     if not path:
         raise MalformedError("NODE_CONFIG is missing")
     told = read_json(path, "NODE_CONFIG")
-    if isinstance(told, dict):
-        for key, variable in (("name", "NODE_NAME"), ("listen", "NODE_LISTEN"), ("ops", "NODE_OPS")):
-            if variable in environ:
-                told.setdefault(key, environ[variable])
-    return config_of(told)
+    if not isinstance(told, dict):
+        return config_of(told)
+    keys, class_shapes = shape_of(told)
+    for key, variable in (("name", "NODE_NAME"), ("listen", "NODE_LISTEN"), ("ops", "NODE_OPS")):
+        if variable in environ:
+            told.setdefault(key, environ[variable])
+    return dataclasses.replace(config_of(told), keys=keys, class_shapes=class_shapes)
+
+
+PER_CLASS = ("settings.services.", "settings.extra.allowed_pools.")  # keys that go with the classes told
+
+
+def shape_of(told: Mapping) -> tuple[frozenset[str], tuple[frozenset[str], ...]]:
+    """The keys of a file as written: all but those of events and of classes; and the keys of each class."""
+    flat = flatten({key: value for key, value in told.items() if key != "known"})
+    keys = frozenset(key for key in flat if not key.startswith(PER_CLASS))
+    settings = told.get("settings")
+    services = settings.get("services") if isinstance(settings, Mapping) else None
+    listed = services if isinstance(services, list) else ()
+    return keys, tuple(frozenset(flatten(one)) if isinstance(one, Mapping) else frozenset() for one in listed)
 
 
 def reload(running: Config, environ: Mapping[str, str] = os.environ) -> Config:
@@ -644,4 +662,15 @@
     for key in ("name", "listen", "ops"):
         if getattr(conf, key) != getattr(running, key):
             raise MalformedError(f"{key} can't change without a restart: {getattr(conf, key)!r}")
+    # Guards against a file cut or garbled on its way: a default would change the running rules unseen.
+    missing = sorted(running.keys - conf.keys)
+    if missing:
+        raise MalformedError(f"{missing[0]} is missing: a revision holds every key of the running file")
+    held = frozenset.intersection(*running.class_shapes) if running.class_shapes else frozenset()
+    for i, shape in enumerate(conf.class_shapes):
+        lacking = sorted(held - shape)
+        if lacking:
+            raise MalformedError(
+                f"settings.services.{i}.{lacking[0]} is missing: every running class holds it"
+            )
     return conf
--- a/leadslip/core.py
+++ b/leadslip/core.py
@@ -147,6 +147,7 @@
         "taken_ms",
         "attempt_ms",
         "passed",
+        "most_tries",
     )
 
     def __init__(
@@ -165,6 +166,7 @@
         self.taken_ms = 0.0
         self.attempt_ms = float("inf")  # the longest that one attempt of it may be out
         self.passed: tuple[Filter, ...] = ()  # the filters that are told what becomes of it
+        self.most_tries = 0  # attempts allowed by the settings when it came; they stay its own
 
 
 class Attempt:
@@ -259,9 +261,14 @@
         self.feeding = False
 
     def adopt(self, settings: face.Settings, most_held: int) -> None:
-        """Take settings that have changed while running; requests already held keep their own deadlines."""
+        """Take settings that have changed while running; requests already held keep their deadlines and attempts.
+
+        Raises ValueError, before anything changes, for settings that the Controller can't take.
+        """
+        self.controller.adopt(
+            settings
+        )  # first: it refuses settings that make no sense, and nothing has changed
         self.settings, self.most_held = settings, most_held
-        self.controller.adopt(settings)
         self.counters.count_classes(kind.name for kind in settings.classes)
 
     def settle(self) -> None:
@@ -298,6 +305,7 @@
     def offer(self, request: Request) -> None:
         """Take a request; it gets its one final answer through its front."""
         now_ms = request.taken_ms = self.clock.now_ms()
+        request.most_tries = self.settings.max_attempts
         self.tally.add("requests")
         if request.id in self.open or request.id in self.standing:
             # An id must not come twice; the second asker still gets an answer, the first keeps its call.
@@ -514,7 +522,7 @@
         attempt = Attempt(request, server, request.tries, now_ms, cut_at_ms)
         request.attempt = attempt
         request.tries += 1
-        legal = must(request.tries <= self.settings.max_attempts, "most attempts")
+        legal = must(request.tries <= request.most_tries, "most attempts")
         legal = must(now_ms >= request.away_until_ms, "release wait") and legal
         legal = must(self.sent_to(server), "nothing new after a drain") and legal
         outcome = self.far_side.send(attempt) if legal and now_ms < cut_at_ms else face.Outcome.NOT_SENT
--- a/leadslip/net/clients.py
+++ b/leadslip/net/clients.py
@@ -252,12 +252,15 @@
             self.sweeping = False
             return
         owing = {request.context[0] for request in self.engine.standing.values()}
+        now_ms = self.engine.clock.now_ms()
         for link in list(self.links):
             if link.set_ups or link.transport.disconnecting or (link in owing and not link.still_used):
                 continue
+            if (not link.heard_ms and now_ms - link.opened_ms < SWEEP_MS) or link.unread():
+                continue  # its first set-up is on its way, or one has come: it is answered first
             self.tally.add("clients.sent_away")
             link.transport.loseConnection()
-        self.engine.deadlines.at(self.engine.clock.now_ms() + SWEEP_MS, self._sweep)
+        self.engine.deadlines.at(now_ms + SWEEP_MS, self._sweep)
 
     def cancelled(self, request: Request) -> None:
         request.context[0].set_ups.pop(request.id, None)
--- a/leadslip/net/links.py
+++ b/leadslip/net/links.py
@@ -112,6 +112,18 @@
         self.tally.add(f"{self.peer_kind}.malformed")
         self.transport.abortConnection()
 
+    def unread(self) -> bool:
+        """Whether bytes wait for us: in the socket, not read yet, or half a message read.
+
+        Guards against closing a connection under a message that has come: a peer is owed an answer to it.
+        """
+        if self.partial_ms:
+            return True
+        try:
+            return bool(self.transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        except OSError:  # nothing waits, or the connection has ended
+            return False
+
 
 class AcceptedLink(Link):
     """A connection that a front has taken; its messages are told to the front's AcceptedLinks."""
