Test a connection in doubt before closing it, and close none on which calls stand

Server._dead took a connection for dead when one answer was late by itself (others had stood 50 ms later), and look() aborted it; Server._use closed living ones with 10 to 30 calls standing as one too many, and the reset that came of it made the next one owed, so that it went on: 40 to 60 closings a proxy in 25 s. Ruled out: releases to callers, stalled callers, ends known twice.

Now a connection in doubt is asked by the protocol's test, which passes at once; only one that leaves it unanswered for 90 ms is closed. One that answers keeps all but the set-ups that others have overtaken, which are given up by themselves. One too many is closed only once no call stands on it, and a loss is owed a new connection only where a call may be told there.

--- a/leadslip/cli/toy.py
+++ b/leadslip/cli/toy.py
@@ -17,6 +17,8 @@
     REPORT,
     SET_UP,
     STATE,
+    TEST,
+    TEST_ENDED,
     message,
 )
 
@@ -41,6 +43,8 @@
         toy = self.factory
         if kind == RELEASE and call in toy.standing:
             toy.standing.pop(call).cancel()
+        if kind == TEST:
+            self.say(message(TEST_ENDED, call, (CAUSE, b"\x01")))
         if kind != SET_UP:
             return
         if len(toy.standing) >= toy.lines:
--- a/leadslip/net/servers.py
+++ b/leadslip/net/servers.py
@@ -31,6 +31,7 @@
     b"far_overload": face.Cause.BOUNCED,
 }
 HEAD = struct.Struct("!HB8s")  # length, type, call
+NO_CALL = bytes(8)
 PARAMETER = struct.Struct("!BH")  # code, length
 NORMAL, CUT = 16, 41
 RECENT_MS = 30_000.0  # for so long the end of a call that was held here may be told again
@@ -43,7 +44,8 @@
 GONE_MS = 2000.0  # a server not heard for so long, to which no connection comes up, can't be reached
 VANISHED_MS = 6500.0  # after so long its calls count as cut: their ends are due to callers in 8 s
 UP_MS = 200.0  # a new connection says something first; one that does not is used after so long all the same
-QUIET_MS = 550.0  # while calls stand, a connection that says nothing for so long is followed by a new one
+QUIET_MS = 550.0  # while calls stand, a connection that says nothing for so long is asked whether it works
+TESTED_MS = 90.0  # a test passes at once: a connection that leaves it unanswered for so long does not work
 CROSSED_MS = 100.0  # for so long a server may go on writing on a connection that we have given up
 CLOSING_MS = 300.0  # a server has so long to close a connection that we have closed towards it
 DIALS = 3  # new connections in a row that may be reset before what waits for one is sent elsewhere
@@ -81,6 +83,9 @@
         self.opened_ms = self.heard_ms = self.now_ms()
         self.set_ups: dict[bytes, Attempt] = {}  # out on this connection, oldest first
         self.overtaken_ms = 0.0  # since when the end of a call set up here is known from another connection
+        self.tested_ms = (
+            0.0  # when it was asked whether it works, and has said nothing whole since; 0: it has
+        )
         self.retired_ms = 0.0  # since when it is closed towards the server, and read to its end only
 
     def connectionMade(self) -> None:
@@ -100,6 +105,17 @@
         super().malformed(fault)
         self.server.lost(self)
 
+    def test(self) -> None:
+        """Ask whether it works; whatever whole message comes next is the answer."""
+        if not self.tested_ms:
+            self.tested_ms = self.now_ms()
+            self.tally.add("servers.tests")
+            self.say(message(TEST, NO_CALL, (CAUSE, b"\x00")))
+
+    def failed(self, now_ms: float) -> bool:
+        """Whether it has left a test unanswered for too long."""
+        return bool(self.tested_ms) and now_ms - self.tested_ms > TESTED_MS
+
     def abort(self) -> None:
         """Close without waiting; known at once, so that nothing more is sent on it."""
         self.transport.abortConnection()
@@ -113,6 +129,9 @@
         load = self.server.far.load_of(told.get(REPORT))
         # Only a whole message that can be read counts as heard: noise must not pass for a live connection.
         self.heard_ms = self.now_ms()
+        if self.tested_ms:
+            self.tested_ms = 0.0
+            self.server.passed(self)
         self.server.heard(self)
         if kind == ANSWER:
             if DESCRIPTION not in told:
@@ -271,12 +290,8 @@
     def _use(self, link: ServerLink) -> None:
         """Send on this connection too from now on; those before it may still bring what is out on them."""
         self.new, self.down = None, False
-        idle = [held for held in self.up if not held.set_ups]
-        quiet_ms = self.far.now_ms() - QUIET_MS
-        spare = [held for held in idle if held.heard_ms < quiet_ms]
-        if len(self.up) - len(spare) >= MOST_LINKS and idle:
-            spare = [min(idle, key=lambda held: held.heard_ms)]
-        for held in spare:
+        now_ms = self.far.now_ms()
+        for held in self._spare(now_ms):
             self.up.remove(held)
             self.retired.append(held)
             held.retire()
@@ -296,6 +311,20 @@
                 self.far.engine.ended(attempt, outcome)
         self.far.tidy(self)
 
+    def _spare(self, now_ms: float) -> list[ServerLink]:
+        """Connections that may be closed now that another has come up: those that do not work, and one too many.
+
+        Guards against the loss of an end: a server writes it on the connection of its set-up and nowhere else,
+        so one that works is closed only once no call stands that was set up on it.
+        """
+        owing = set(self.on.values())
+        idle = [held for held in self.up if not held.set_ups]
+        spare = [held for held in idle if held.failed(now_ms)]
+        free = [held for held in idle if held not in owing]
+        if len(self.up) - len(spare) >= MOST_LINKS and free:
+            spare.append(min(free, key=lambda held: held.heard_ms))
+        return list(dict.fromkeys(spare))
+
     def dial_failed(self, refused: bool) -> None:
         self.dialling = False
         self.down = True
@@ -319,7 +348,9 @@
 
     def lost(self, link: ServerLink, all_read: bool = False) -> None:
         """A connection has gone: the set-ups open on it may have run; calls that stand may stand on."""
-        if link in self.up or (link in self.retired and not all_read):
+        open_now = [held for held in self.links_open() if held is not link]
+        stands = any(on not in open_now for call, on in self.on.items() if call not in link.set_ups)
+        if stands and (link in self.up or (link in self.retired and not all_read)):
             # What it may have swallowed is told on the next one opened. One under way does not do: the server
             # may have taken it first, and written the end of a call on the lost one after that.
             self.owed_ms = self.far.now_ms() + CROSSED_MS
@@ -365,10 +396,27 @@
     def links_open(self) -> list[ServerLink]:
         return self.up + ([self.new] if self.new is not None else [])
 
-    def _dead(self, link: ServerLink, now_ms: float) -> bool:
+    def _overtaken(self, attempt: Attempt) -> bool:
+        """Whether a set-up sent later stands already."""
+        return attempt.sent_ms + OVERTAKEN_MS < self.stood_ms
+
+    def passed(self, link: ServerLink) -> None:
+        """A connection in doubt works: a set-up that others have overtaken is late by itself.
+
+        It is given up, so that it may go again; the connection is kept, as it goes on bringing all else.
+        """
+        for attempt in list(link.set_ups.values()):
+            if self._overtaken(attempt):
+                self.far.tally.add("servers.late_set_ups")
+                self.end(attempt)
+                self.far.engine.ended(attempt, face.Outcome.CUT)
+
+    def _doubtful(self, link: ServerLink, now_ms: float) -> bool:
         """Whether a connection is silent where others of the same server are not."""
         oldest = next(iter(link.set_ups.values()), None)
-        overtaken = oldest is not None and max(oldest.sent_ms, link.heard_ms) + OVERTAKEN_MS < self.stood_ms
+        overtaken = (
+            oldest is not None and self._overtaken(oldest) and link.heard_ms + OVERTAKEN_MS < self.stood_ms
+        )
         told = link.heard_ms + STATE_MS < self.state_ms < now_ms - STATE_MS
         ends = link.heard_ms < link.overtaken_ms < now_ms - CROSSED_MS
         return overtaken or ends or (told and now_ms - link.heard_ms > SILENT_MS)
@@ -377,15 +425,20 @@
         """Close what will bring nothing more, and dial anew past a connection in doubt.
 
         Guards against a connection that stays open but dead, behind half a message or in silence: its set-ups
-        would time out and the ends of its calls would never be heard. A processor that hangs looks alike;
-        there the new connection says no more, and nothing is given up.
+        would time out and the ends of its calls would never be heard. One late answer looks alike, and so does a
+        connection on which nothing was due: it is asked first, as closing one that works loses the ends that
+        cross the close. A processor that hangs looks alike too; there the new connection says no more, and
+        nothing is given up.
         """
         for link in self.links_open():
             if link.partial_ms and now_ms - link.partial_ms > PARTIAL_MS:
                 link.malformed(MessageError("unfinished"))
-            elif self._dead(link, now_ms):
-                self.far.tally.add("servers.dead_links")
-                link.abort()
+            elif self._doubtful(link, now_ms):
+                if link.failed(now_ms):
+                    self.far.tally.add("servers.dead_links")
+                    link.abort()
+                else:
+                    link.test()
         for link in list(self.retired):
             if now_ms - link.retired_ms > CLOSING_MS:
                 link.abort()
@@ -417,14 +470,13 @@
             len(self.up) > 1 and now_ms - self.up[-1].opened_ms < SILENT_MS
         )  # it would say no less than another
         doubt = bool(sent) and not fresh and min(quiet_ms, now_ms - min(sent)) > UNANSWERED_MS
-        # Guards against ends swallowed by a dead connection while others of the server go on: where one says
-        # nothing a new one is opened, on which what it has swallowed is told.
+        # Guards against ends swallowed by a dead connection while others of the server go on: where one does not
+        # answer a test a new one is opened, on which what it has swallowed is told.
         newest_ms = self.up[-1].opened_ms
-        renewed = (
-            bool(self.calls)
-            and len(self.up) < 2 * MOST_LINKS
-            and any(now_ms - max(link.heard_ms, newest_ms) > QUIET_MS for link in self.up)
-        )
+        quiet = [link for link in self.up if self.calls and now_ms - max(link.heard_ms, newest_ms) > QUIET_MS]
+        for link in quiet:
+            link.test()
+        renewed = len(self.up) < 2 * MOST_LINKS and any(link.failed(now_ms) for link in quiet)
         if doubt or (self.calls and quiet_ms > SILENT_MS):
             self.far.tally.add("servers.silent")
             self.dial()
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -137,6 +137,8 @@
             self.heard.append((body[0], body[1:9], told))
             if body[0] == 1:
                 self.answer(link, body[1:9], told)
+            elif body[0] == 52 and self.behaviour != "silent":
+                link.sendall(binary(53, body[1:9], (61, b"\x01")))
 
     def report(self) -> bytes:
         return b"x0:50;x1:50;novelty:1"
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -304,6 +304,10 @@
     assert (sent(link), sent(newer)) == (1, 1)
     newer.dataReceived(binary(9, bytes(8), (63, b"sdp")))
     world.wait(100)
+    assert not link.transport.disconnecting and link.transport.value().endswith(
+        binary(52, bytes(8), (61, b"\0"))
+    ), "a late answer looks alike: it is asked first"
+    world.wait(100)
     assert link.transport.disconnecting and world.tally.counts["attempts.cut"] == 1
     assert world.told == [("stands", second, b"sdp")]
 
