Close no connection while ends of lost ones may come on it, nor those of a hanging processor

Cause of the two ends told late on soak, traced: the ends of calls whose connection is lost come on the newest one (r 33, 35, 36, 37 for calls set up on 25). Server._use closed just that one for each newcomer as one too many; its reset counted as a loss and called for another: 8 closings in 1.6 s after one reset by a server, each under ends on their way. Second, by a stand-in that hangs: all connections leave a test unanswered then, and _use closed those idle; when the processor goes on it writes what has ended on connections that it does not know to be closed (30 to 39 of 60 calls never told after 6 s, 65 dials).

Now none is closed as too many while such calls stand (up to eight), and one that leaves a test unanswered is dead only if its server has spoken elsewhere since.

--- a/leadslip/net/servers.py
+++ b/leadslip/net/servers.py
@@ -116,6 +116,14 @@
         """Whether it has left a test unanswered for too long."""
         return bool(self.tested_ms) and now_ms - self.tested_ms > TESTED_MS
 
+    def dead(self, now_ms: float) -> bool:
+        """Whether it has, while its server has spoken elsewhere.
+
+        Guards against closing all connections of a processor that hangs: it goes on later, and writes what has
+        ended meanwhile on connections that it does not know to be closed yet.
+        """
+        return self.failed(now_ms) and self.server.heard_ms > self.tested_ms
+
     def abort(self) -> None:
         """Close without waiting; known at once, so that nothing more is sent on it."""
         self.transport.abortConnection()
@@ -312,18 +320,18 @@
         self.far.tidy(self)
 
     def _spare(self, now_ms: float) -> list[ServerLink]:
-        """Connections that may be closed now that another has come up: those that do not work, and one too many.
+        """Connections that may be closed now that another has come up: those that do not work, and some too many.
 
         Guards against the loss of an end: a server writes it on the connection of its set-up and nowhere else,
-        so one that works is closed only once no call stands that was set up on it.
+        so one that works is closed only once no call stands that was set up on it. The ends of calls whose
+        connection is lost may come on any: while such calls stand, none is closed up to twice as many.
         """
+        spare = [held for held in self.up if not held.set_ups and held.dead(now_ms)]
         owing = set(self.on.values())
-        idle = [held for held in self.up if not held.set_ups]
-        spare = [held for held in idle if held.failed(now_ms)]
-        free = [held for held in idle if held not in owing]
-        if len(self.up) - len(spare) >= MOST_LINKS and free:
-            spare.append(min(free, key=lambda held: held.heard_ms))
-        return list(dict.fromkeys(spare))
+        most = 2 * MOST_LINKS if owing - set(self.up) else MOST_LINKS
+        free = [held for held in self.up if held not in owing and held not in spare]
+        too_many = max(0, len(self.up) - len(spare) + 1 - most)
+        return spare + sorted(free, key=lambda held: held.heard_ms)[:too_many]
 
     def dial_failed(self, refused: bool) -> None:
         self.dialling = False
@@ -434,7 +442,7 @@
             if link.partial_ms and now_ms - link.partial_ms > PARTIAL_MS:
                 link.malformed(MessageError("unfinished"))
             elif self._doubtful(link, now_ms):
-                if link.failed(now_ms):
+                if link.dead(now_ms):
                     self.far.tally.add("servers.dead_links")
                     link.abort()
                 else:
@@ -476,7 +484,8 @@
         quiet = [link for link in self.up if self.calls and now_ms - max(link.heard_ms, newest_ms) > QUIET_MS]
         for link in quiet:
             link.test()
-        renewed = len(self.up) < 2 * MOST_LINKS and any(link.failed(now_ms) for link in quiet)
+        failed = sum(link.failed(now_ms) for link in quiet)
+        renewed = failed and len(self.up) - failed < 2 * MOST_LINKS
         if doubt or (self.calls and quiet_ms > SILENT_MS):
             self.far.tally.add("servers.silent")
             self.dial()
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -307,6 +307,7 @@
     assert not link.transport.disconnecting and link.transport.value().endswith(
         binary(52, bytes(8), (61, b"\0"))
     ), "a late answer looks alike: it is asked first"
+    newer.dataReceived(binary(43, bytes(8), (51, b"x0:5;x1:5")))
     world.wait(100)
     assert link.transport.disconnecting and world.tally.counts["attempts.cut"] == 1
     assert world.told == [("stands", second, b"sdp")]
