Give each part its settings, wiring, figures and calls in one place, and open the circle of core

Now leadslip/parts/ holds a module for each feature that a file turns on (logs, otlp, store, trunks, enum): settings read and checked, what can't change at a reload, watchers, filters, figures, operators' calls, start and close. Node and the configuration tool go through the list. Requests and deadlines have modules of their own, so that filters no longer import core; a toy site's settings moved to site.py. Way not taken: a registry by entry points, which would cost an import of importlib.metadata in run.

--- a/leadslip/__main__.py
+++ b/leadslip/__main__.py
@@ -12,12 +12,11 @@
 from twisted.internet import error as net_error
 from twisted.internet import reactor
 
-from leadslip import config
+from leadslip import config, parts
 from leadslip.checks import Tally
 from leadslip.core import Deadlines, Engine, Watcher, Watchers
 from leadslip.counters import Counters
 from leadslip.logs import Log, open_log
-from leadslip.net import enum
 from leadslip.net.board import Board
 from leadslip.net.clients import Clients
 from leadslip.net.links import listen_shared, stop_shared
@@ -61,56 +60,34 @@
 
 @dataclass(frozen=True, slots=True)
 class Wanted:
-    """All that the files of one proxy ask for; what is turned off is None."""
+    """All that the files of one proxy ask for; the settings of a part that is off are None."""
 
     conf: config.Config
-    enum: config.EnumConfig | None
-    otlp: config.OtlpConfig | None
-    logs: config.LogsConfig
-    store: config.StoreConfig | None
-    trunks: config.TrunksConfig | None
+    parts: dict[str, object]
 
     @classmethod
     def load(cls, conf: config.Config) -> Wanted:
         """Read every file but the first, checked."""
-        store = config.load_store()
-        trunks = config.load_trunks(conf, store is not None)
-        return cls(conf, config.load_enum(), config.load_otlp(), config.load_logs(), store, trunks)
-
-    def fixed(self) -> tuple[tuple[str, object], ...]:
-        """What can't change without a restart."""
-        measure = self.trunks and (self.trunks.measure, self.trunks.interval_s)
-        told = (self.enum, self.otlp, self.logs, self.store, measure)
-        return tuple(zip(("enum", "otlp", "logs", "store", "trunks.measure"), told, strict=True))
+        return cls(conf, parts.read(conf))
 
 
 class Node:
     """The parts of one proxy and their life."""
 
     def __init__(self, wanted: Wanted, log: Log) -> None:
-        self.wanted, self.log = wanted, log
-        conf, otlp_conf = wanted.conf, wanted.otlp
+        self.wanted, self.log, self.reactor = wanted, log, reactor
+        conf = wanted.conf
         self.conf, self.tally, self.clock = conf, Tally(), SystemClock()
         self.readiness = Readiness()
         self.port = None
         self.deadlines = Deadlines(self.clock, reactor)
-        self.exporter = None
-        if otlp_conf is not None:
-            # Imported only where wanted: the library costs some MB of the platform's memory.
-            from leadslip.net.otlp import Exporter, Watch
-
-            self.exporter = Exporter(reactor, otlp_conf, conf.name, self.deadlines, self.tally)
-            watches = [[Watch(self.exporter, "sip", "INVITE")], [Watch(self.exporter, "dns", "NAPTR")]]
-        else:
-            watches = [[], []]
-        self.keeper = None
-        if wanted.store is not None:
-            from leadslip.keeper import Keeper
-
-            self.keeper = Keeper(reactor, wanted.store, self.deadlines, self.tally, log)
-            if wanted.trunks is not None and wanted.trunks.measure:
-                self.keeper.measure(wanted.trunks, watches)
-        self.watches = [watcher_of(held) for held in watches]
+        self.parts: dict[str, parts.Part] = {}
+        watches: dict[str, list[Watcher]] = {"sip": [], "dns": []}
+        for name, told in wanted.parts.items():
+            if told is not None:
+                part = self.parts[name] = parts.kind(name)(self, told)
+                part.watch(watches)
+        self.watches = {name: watcher_of(held) for name, held in watches.items()}
         self.servers = Servers(
             reactor, self.tally, self.clock.now_ms, conf.dial_timeout_ms, self.unknown_end, self.deadlines
         )
@@ -124,13 +101,15 @@
             self.tally,
             log,
             conf.most_held,
-            self.watches[0],
+            self.watches["sip"],
             counters=self.figures,
         )
         self.figures.watch("pool_size", self.servers.listed_count)
         self.figures.watch("pool_ejected", self.servers.avoided)
+        for part in self.parts.values():
+            for name, read in part.figures().items():
+                self.figures.watch(name, read)
         self.engines = [self.engine]
-        self.reservation = None
         self.filter()
         self.clients = Clients(self.engine, self.tally, most_links(conf), self.readiness)
         self.board = Board(
@@ -145,13 +124,7 @@
 
     def filter(self) -> None:
         """Build the chain of filters that the configuration asks for; what is open keeps its own."""
-        filters = []
-        if self.wanted.trunks is not None and any(group.reserve for group in self.wanted.trunks.groups):
-            from leadslip.trunks.reservation import Reservation
-
-            self.reservation = Reservation(self.wanted.trunks.groups, self.reservation)
-            filters.append(self.reservation)
-        self.engine.chain.replace(filters)
+        self.engine.chain.replace([held for part in self.parts.values() for held in part.filters()])
 
     def start(self) -> None:
         """Begin to serve; what is known already comes before anything is polled."""
@@ -165,22 +138,14 @@
         if self.conf.ops is not None:
             from leadslip.net.ops import Site
 
-            site = Site(self.deadlines, self.tally, self.readiness.ready, self.counters, self.out, self.back)
+            site = Site(self.deadlines, self.tally, self.calls())
             ops_host, ops_port = self.conf.ops
             ops_port = reactor.listenTCP(ops_port, site, backlog=64, interface=ops_host).getHost().port
             self.log("ops.serves", address=f"{ops_host}:{ops_port}")
         self.servers.look()
         self.board.poll()
-        if self.exporter is not None:
-            self.exporter.start()
-        if self.keeper is not None:
-            self.keeper.start()
-        if self.wanted.enum is not None:
-            seed, enum_conf = self.conf.seed, self.wanted.enum
-            engine = enum.start(
-                reactor, enum_conf, seed, self.deadlines, self.tally, self.log, self.watches[1]
-            )
-            self.engines.append(engine)
+        for part in self.parts.values():
+            part.start()
         self.report()
         gc.collect()
         gc.freeze()
@@ -192,9 +157,31 @@
         self.servers.listed(notice.news, notice.addresses)
         self.engine.news(notice.news)
 
-    def counters(self) -> bytes:
-        """The figures for operators."""
-        return self.figures.text()
+    def calls(self) -> parts.Calls:
+        """What operators may call: the proxy's own calls, and those of its parts."""
+
+        def ready() -> parts.Answer:
+            return (
+                parts.Answer(200, b"ready\n") if self.readiness.ready() else parts.Answer(503, b"not ready\n")
+            )
+
+        def out() -> parts.Answer:
+            self.out()
+            return parts.Answer(200, b"out of service\n")
+
+        def back() -> parts.Answer:
+            self.back()
+            return parts.Answer(200, b"in service\n")
+
+        told: parts.Calls = {
+            b"ready": {b"GET": ready, b"HEAD": ready},
+            b"counters": {b"GET": lambda: parts.Answer(200, self.figures.text())},
+            b"out-of-service": {b"PUT": out, b"POST": out},
+            b"in-service": {b"PUT": back, b"POST": back},
+        }
+        for part in self.parts.values():
+            told |= part.calls()
+        return told
 
     def out(self) -> None:
         """Operators send clients away; the process goes on."""
@@ -223,8 +210,9 @@
         try:
             conf = config.reload(self.conf)
             wanted = Wanted.load(conf)
-            for (key, now), (_, then) in zip(wanted.fixed(), self.wanted.fixed(), strict=True):
-                if now != then:
+            running = parts.fixed(self.wanted.parts)
+            for key, lasting in parts.fixed(wanted.parts).items():
+                if lasting != running[key]:
                     raise config.MalformedError(f"{key} can't change without a restart")
             if (conf.settings, conf.most_held) != (self.conf.settings, self.conf.most_held):
                 self.engine.adopt(conf.settings, conf.most_held)  # first, as the Controller may refuse them
@@ -234,6 +222,8 @@
             self.log("reload.refused", level="error", fault=str(fault))
             return
         old, self.conf, self.wanted = self.conf, conf, wanted
+        for name, part in self.parts.items():
+            part.retuned(wanted.parts[name])
         self.filter()
         self.figures.config_applied += 1
         self.tally.add("reloads")
@@ -275,10 +265,8 @@
             self.board.stop()
             for engine in self.engines:
                 engine.settle()  # guards against what is still open being found unanswered by the kill
-            if self.exporter is not None:
-                self.exporter.flush()
-            if self.keeper is not None:
-                self.keeper.close()
+            for part in self.parts.values():
+                part.close()
             self.report()
             reactor.callLater(0.05, reactor.stop)  # what is written gets out first
             return
@@ -296,7 +284,8 @@
         print(f"leadslip: {fault}", file=sys.stderr)
         return 2
     show_errors()
-    node = Node(wanted, open_log(wanted.logs.format, wanted.logs.level, wanted.conf.name))
+    logs = wanted.parts["logs"]
+    node = Node(wanted, open_log(logs.format, logs.level, wanted.conf.name))
     failed = []
 
     def start() -> None:
--- a/leadslip/cli/demo.py
+++ b/leadslip/cli/demo.py
@@ -76,12 +76,13 @@
         """Listen, and start the proxy before it."""
         from twisted.internet import error, protocol
 
+        from leadslip import site
         from leadslip.cli import toy
 
         server, board = toy.start(
             self.reactor, 0, 0, self.lines, self.hold_s, lambda text: self.show("server", text)
         )
-        (self.folder / "config.json").write_text(json.dumps(toy.configuration(server, board, 0)))
+        (self.folder / "config.json").write_text(json.dumps(site.configuration(server, board, 0)))
         kept = {key: value for key, value in os.environ.items() if not key.startswith(("NODE_", "LEADSLIP_"))}
         kept["NODE_CONFIG"] = str(self.folder / "config.json")
         kept["PYTHONPATH"] = os.pathsep.join(path for path in sys.path if path)
--- a/leadslip/config.py
+++ b/leadslip/config.py
@@ -215,68 +215,6 @@
     class_shapes: tuple[frozenset[str], ...] = ()  # the keys of each class of the file
 
 
-@dataclass(frozen=True, slots=True)
-class EnumConfig:
-    """The second front, for ENUM look-ups over DNS."""
-
-    listen: Address
-    resolvers: tuple[Address, ...]
-    suffix: str
-    answer_within_ms: float
-    attempt_ms: float
-    most_held: int
-    most_connections: int
-    settings: face.Settings
-
-
-@dataclass(frozen=True, slots=True)
-class OtlpConfig:
-    """The export of metrics and traces."""
-
-    collector: Address
-    interval_ms: float
-    timeout_ms: float
-    most_spans: int
-    most_batch: int
-
-
-@dataclass(frozen=True, slots=True)
-class LogsConfig:
-    """How events are written."""
-
-    format: str = "plain"
-    level: str = "info"
-
-
-@dataclass(frozen=True, slots=True)
-class StoreConfig:
-    """The embedded store."""
-
-    path: str
-    most_mb: int
-    fine_days: int
-    days: int
-
-
-@dataclass(frozen=True, slots=True)
-class TrunkGroup:
-    """One trunk group: its circuits, and how many each class must leave free."""
-
-    name: str
-    destinations: tuple[int, ...]
-    trunks: float  # this proxy's part of the circuits
-    reserve: Mapping[str, float]  # class -> trunks that it must leave free
-
-
-@dataclass(frozen=True, slots=True)
-class TrunksConfig:
-    """What is measured of trunk groups, and what is reserved on them."""
-
-    measure: bool
-    interval_s: int
-    groups: tuple[TrunkGroup, ...]
-
-
 def flatten(value: object, path: str = "") -> Fields:
     """Nested JSON settings as the simulator's start message has them: path=value pairs, all text."""
     if isinstance(value, Mapping):
@@ -392,167 +330,8 @@
     )
 
 
-ENUM_KEYS = {  # key -> (default, least, most)
-    "answer_within_ms": (1500.0, 50.0, 60_000.0),
-    "attempt_ms": (400.0, 10.0, 60_000.0),
-    "most_attempts": (3, 1, 16),
-    "most_held": (2000, 1, 100_000),
-    "most_connections": (64, 1, 10_000),
-}
-
-
-def enum_of(told: Mapping) -> EnumConfig | None:
-    """The checked configuration of the ENUM front; None where it is not turned on."""
-    if not _turned_on(told, "enum", ("listen", "resolvers", "suffix", *ENUM_KEYS)):
-        return None
-    figures = _figures(told, "enum", ENUM_KEYS)
-    listed = member(told, "resolvers", list, "enum")
-    if not listed:
-        raise MalformedError("enum.resolvers is empty")
-    resolvers = tuple(address_of(text, f"enum.resolvers.{i}") for i, text in enumerate(listed))
-    if len(set(resolvers)) < len(resolvers):
-        raise MalformedError("enum.resolvers names one twice")
-    suffix = str(told.get("suffix", "e164.arpa")).strip(".").lower()
-    if not suffix or not all(0 < len(label) < 64 for label in suffix.split(".")):
-        raise MalformedError(f"enum.suffix is no domain: {suffix!r}")
-    wait_ms = figures["answer_within_ms"]
-    lookup = face.CallClass("enum", worth=1.0, late_worth=0.0, aim_ms=wait_ms, deadline_ms=wait_ms)
-    settings = face.Settings(
-        gateways=1,
-        index=0,
-        classes=(lookup,),
-        max_attempts=figures["most_attempts"],
-        may_withdraw=True,
-        tick_ms=5.0,
-    )
-    return EnumConfig(
-        listen=address_of(member(told, "listen", str, "enum"), "enum.listen"),
-        resolvers=resolvers,
-        suffix=suffix,
-        answer_within_ms=wait_ms,
-        attempt_ms=figures["attempt_ms"],
-        most_held=figures["most_held"],
-        most_connections=figures["most_connections"],
-        settings=settings,
-    )
-
-
-OTLP_KEYS = {  # key -> (default, least, most)
-    "interval_ms": (5000.0, 10.0, 600_000.0),
-    "timeout_ms": (3000.0, 10.0, 60_000.0),
-    "most_spans": (4096, 1, 100_000),
-    "most_batch": (512, 1, 10_000),
-}
-
-
-def otlp_of(told: Mapping) -> OtlpConfig | None:
-    """The checked configuration of the OTLP export; None where it is not turned on."""
-    if not _turned_on(told, "otlp", ("collector", *OTLP_KEYS)):
-        return None
-    figures = _figures(told, "otlp", OTLP_KEYS)
-    return OtlpConfig(address_of(member(told, "collector", str, "otlp"), "otlp.collector"), **figures)
-
-
-LOG_FORMATS, LOG_LEVELS = ("plain", "console", "json"), ("debug", "info", "warning", "error")
-
-
-def logs_of(told: Mapping) -> LogsConfig:
-    """The checked configuration of the log; plain lines where nothing is said."""
-    for key in told:
-        if key not in ("format", "level"):
-            raise MalformedError(f"logs.{key} is unknown")
-    conf = LogsConfig(**told)
-    if conf.format not in LOG_FORMATS:
-        raise MalformedError(f"logs.format must be one of {', '.join(LOG_FORMATS)}: {conf.format!r}")
-    if conf.level not in LOG_LEVELS:
-        raise MalformedError(f"logs.level must be one of {', '.join(LOG_LEVELS)}: {conf.level!r}")
-    return conf
-
-
-STORE_KEYS = {  # key -> (default, least, most)
-    "most_mb": (64, 1, 1_000_000),
-    "fine_days": (7, 1, 366),
-    "days": (400, 1, 10_000),
-}
-
-
-def store_of(told: Mapping) -> StoreConfig | None:
-    """The checked configuration of the store; None where it is not turned on."""
-    if not _turned_on(told, "store", ("path", *STORE_KEYS)):
-        return None
-    path = str(member(told, "path", str, "store"))
-    if not path or path.endswith("/"):
-        raise MalformedError(f"store.path is no file: {path!r}")
-    figures = _figures(told, "store", STORE_KEYS)
-    if figures["days"] < figures["fine_days"]:
-        raise MalformedError(f"store.days must not be below fine_days: {figures['days']}")
-    return StoreConfig(path, **figures)
-
-
-TRUNK_KEYS = {"interval_s": (60, 1, 900)}
-
-
-def trunks_of(told: Mapping, with_store: bool, classes: Iterable[str] | None = None) -> TrunksConfig | None:
-    """The checked configuration of trunk groups; None where it is not turned on.
-
-    `classes` are those that a reserve may name; None where they are not known.
-    """
-    if not _turned_on(told, "trunks", ("measure", "group", *TRUNK_KEYS)):
-        return None
-    measure = told.get("measure", True)
-    if not isinstance(measure, bool):
-        raise MalformedError(f"trunks.measure is neither true nor false: {measure!r}")
-    if measure and not with_store:
-        raise MalformedError("trunks.measure needs the store to be turned on")
-    interval_s = _figures(told, "trunks", TRUNK_KEYS)["interval_s"]
-    if 900 % interval_s:
-        raise MalformedError(f"trunks.interval_s must divide 900: {interval_s}")
-    listed = told.get("group", [])
-    if not isinstance(listed, list):
-        raise MalformedError("trunks.group is no list of tables")
-    groups: dict[str, TrunkGroup] = {}
-    owner: dict[int, str] = {}
-    known_classes = None if classes is None else tuple(classes)
-    for i, one in enumerate(listed):
-        group = _trunk_group(one, f"trunks.group.{i}", known_classes)
-        if group.name in groups:
-            raise MalformedError(f"trunks.group.{i}.name is used twice: {group.name!r}")
-        for destination in group.destinations:
-            if owner.setdefault(destination, group.name) != group.name:
-                told_by = owner[destination]
-                raise MalformedError(f"trunks.group.{i}.destinations: {destination} belongs to {told_by!r}")
-        groups[group.name] = group
-    return TrunksConfig(measure, interval_s, tuple(groups.values()))
-
-
-def _trunk_group(told: object, at: str, classes: tuple[str, ...] | None) -> TrunkGroup:
-    if not isinstance(told, Mapping):
-        raise MalformedError(f"{at} is no table")
-    for key in told:
-        if key not in ("name", "destinations", "trunks", "share", "reserve"):
-            raise MalformedError(f"{at}.{key} is unknown")
-    name = str(member(told, "name", str, at))
-    if not name or "/" in name:
-        raise MalformedError(f"{at}.name is empty or holds a slash: {name!r}")
-    destinations = member(told, "destinations", list, at)
-    for one in destinations:
-        if isinstance(one, bool) or not isinstance(one, int):
-            raise MalformedError(f"{at}.destinations holds no whole number: {one!r}")
-    if "trunks" not in told:
-        raise MalformedError(f"{at}.trunks is missing")
-    bounds = {"trunks": (1, 0, 100_000), "share": (1.0, 0.0, 1.0)}
-    figures = _figures(told, at, bounds)
-    reserve = told.get("reserve", {})
-    if not isinstance(reserve, Mapping):
-        raise MalformedError(f"{at}.reserve is no table")
-    for key in reserve:
-        if classes is not None and key not in classes:
-            raise MalformedError(f"{at}.reserve.{key} is no class of the settings")
-    levels = _figures(reserve, f"{at}.reserve", dict.fromkeys(reserve, (0.0, 0, figures["trunks"])))
-    return TrunkGroup(name, tuple(destinations), figures["trunks"] * figures["share"], levels)
-
-
-def _turned_on(told: Mapping, path: str, keys: tuple[str, ...]) -> bool:
+def turned_on(told: Mapping, path: str, keys: tuple[str, ...]) -> bool:
+    """Whether a part's file turns it on; raises MalformedError for a key that it does not know."""
     for key in told:
         if key != "enabled" and key not in keys:
             raise MalformedError(f"{path}.{key} is unknown")
@@ -562,7 +341,7 @@
     return enabled
 
 
-def _figures(told: Mapping, path: str, keys: Mapping[str, tuple]) -> dict:
+def figures_of(told: Mapping, path: str, keys: Mapping[str, tuple]) -> dict:
     """Figures within their bounds; whole where the default is."""
     figures = {}
     for key, (default, least, most) in keys.items():
@@ -574,7 +353,7 @@
     return figures
 
 
-def _optional(environ: Mapping[str, str], variable: str, file_name: str) -> dict:
+def optional(environ: Mapping[str, str], variable: str, file_name: str) -> dict:
     """A file that an environment variable names, or the one under deploy/; nothing where there is none."""
     path = environ.get(variable)
     if path is None and not os.path.exists(file_name):
@@ -586,39 +365,6 @@
         raise MalformedError(f"{variable if path else file_name} can't be read: {fault}") from fault
 
 
-def load_enum(environ: Mapping[str, str] = os.environ) -> EnumConfig | None:
-    """The ENUM front's configuration; off where there is none."""
-    return enum_of(_optional(environ, "LEADSLIP_ENUM", "deploy/enum.toml"))
-
-
-def load_otlp(environ: Mapping[str, str] = os.environ) -> OtlpConfig | None:
-    """The OTLP export's configuration; off where there is none."""
-    return otlp_of(_optional(environ, "LEADSLIP_OTLP", "deploy/otlp.toml"))
-
-
-def load_logs(environ: Mapping[str, str] = os.environ) -> LogsConfig:
-    """The log's configuration; plain lines where there is none."""
-    return logs_of(_optional(environ, "LEADSLIP_LOGS", "deploy/logs.toml"))
-
-
-def load_store(environ: Mapping[str, str] = os.environ) -> StoreConfig | None:
-    """The store's configuration; off where there is none."""
-    conf = store_of(_optional(environ, "LEADSLIP_STORE", "deploy/store.toml"))
-    if conf is not None and (
-        os.path.isdir(conf.path) or not os.path.isdir(os.path.dirname(conf.path) or ".")
-    ):
-        raise MalformedError(f"store.path is no file in a folder that is there: {conf.path!r}")
-    return conf
-
-
-def load_trunks(
-    conf: Config, with_store: bool, environ: Mapping[str, str] = os.environ
-) -> TrunksConfig | None:
-    """The trunk groups' configuration; off where there is none."""
-    told = _optional(environ, "LEADSLIP_TRUNKS", "deploy/trunks.toml")
-    return trunks_of(told, with_store, [kind.name for kind in conf.settings.classes])
-
-
 def read_json(path: str, key: str) -> object:
     """The JSON in a file; the key says where the path came from."""
     try:
--- a/leadslip/configure.py
+++ b/leadslip/configure.py
@@ -19,11 +19,10 @@
 from collections.abc import Mapping
 from pathlib import Path
 
-from leadslip import config
+from leadslip import config, parts
 from leadslip.config import MalformedError
 
-FILES = ("enum", "otlp", "logs", "store", "trunks")  # each a TOML file of its own beside config.json
-SHARED = ("board", "settings", "limits", "servers", *FILES)
+SHARED = ("board", "settings", "limits", "servers", *parts.NAMES)  # a part has a TOML file beside config.json
 OWN = ("name", "listen", *SHARED)
 ENTRY_KEYS = ("uid", "endpoint", "az", "pod_group")
 
@@ -78,25 +77,20 @@
         try:
             full["known"] = notices_of(merged.get("servers", []))
             conf = config.config_of(full)
-            config.enum_of(merged.get("enum", {}))
-            config.otlp_of(merged.get("otlp", {}))
-            config.logs_of(merged.get("logs", {}))
-            store = config.store_of(merged.get("store", {}))
-            classes = [kind.name for kind in conf.settings.classes]
-            config.trunks_of(merged.get("trunks", {}), store is not None, classes)
+            around = parts.Around(tuple(kind.name for kind in conf.settings.classes))
+            for part in parts.NAMES:
+                around.settings[part] = parts.kind(part).settings(merged.get(part, {}), around)
         except MalformedError as fault:
             raise MalformedError(f"{at} ({name}): {fault}") from fault
-        held = (
-            ("listen", full["listen"]),
-            ("enum.listen", merged.get("enum", {}).get("listen")),
-            ("store.path", store and store.path),  # two writers of one file would hold each other up
-        )
+        held = [("listen", conf.listen)]
+        for part, told_of in around.settings.items():
+            held += parts.kind(part).taken(told_of) if told_of is not None else ()
         for key, where in held:
             if where in taken:
-                raise MalformedError(f"{at}.{key} is taken by {taken[where]}: {where}")
-            if where is not None:
-                taken[where] = name
-        done[name] = {"config": full} | {kind: merged.get(kind) for kind in FILES}
+                shown = "{}:{}".format(*where) if isinstance(where, tuple) else where
+                raise MalformedError(f"{at}.{key} is taken by {taken[where]}: {shown}")
+            taken[where] = name
+        done[name] = {"config": full} | {part: merged.get(part) for part in parts.NAMES}
     return done
 
 
@@ -117,11 +111,11 @@
 def write(source: str, folder: str) -> list[Path]:
     """Write the files of all applications, after all have been checked; tells which."""
     written = []
-    for name, parts in applications_of(read_toml(source)).items():
+    for name, own in applications_of(read_toml(source)).items():
         place = Path(folder) / name
         place.mkdir(parents=True, exist_ok=True)
-        files = {"config.json": json.dumps(parts["config"], indent=1) + "\n"}
-        files |= {f"{kind}.toml": toml_of(parts[kind]) for kind in FILES if parts[kind]}
+        files = {"config.json": json.dumps(own["config"], indent=1) + "\n"}
+        files |= {f"{kind}.toml": toml_of(own[kind]) for kind in parts.NAMES if own[kind]}
         for file, text in files.items():
             draft = place / f".{file}.new"
             draft.write_text(text, encoding="utf-8")
@@ -135,16 +129,9 @@
     name = Path(path).name
     if name.endswith(".json"):
         config.config_of(config.read_json(path, "file"))
-    elif name == "enum.toml":
-        config.enum_of(read_toml(path))
-    elif name == "otlp.toml":
-        config.otlp_of(read_toml(path))
-    elif name == "logs.toml":
-        config.logs_of(read_toml(path))
-    elif name == "store.toml":
-        config.store_of(read_toml(path))
-    elif name == "trunks.toml":
-        config.trunks_of(read_toml(path), with_store=True)
+    elif name.endswith(".toml") and name[:-5] in parts.NAMES:
+        around = parts.Around(settings=dict.fromkeys(parts.NAMES, True))  # what else is on is not known here
+        parts.kind(name[:-5]).settings(read_toml(path), around)
     else:
         applications_of(read_toml(path))
 
--- a/leadslip/core.py
+++ b/leadslip/core.py
@@ -7,190 +7,19 @@
 
 from __future__ import annotations
 
-import heapq
 from collections import deque
-from collections.abc import Callable
-from enum import Enum
 from typing import Protocol
 
 from leadslip import interface as face
 from leadslip.checks import Tally
 from leadslip.choice import Controller
 from leadslip.counters import Counters
-from leadslip.filters import Chain, Filter
+from leadslip.deadlines import Clock, Deadlines
+from leadslip.filters import Chain
 from leadslip.logs import Log
+from leadslip.request import Attempt, Request, State
 
 AWAY = (face.Outcome.TIMED_OUT, face.Outcome.CUT, face.Outcome.WITHDRAWN)
-COMPACT_FROM = 1024  # dead deadlines from which on the heap is swept
-
-
-class Clock(Protocol):
-    """Tells Unix milliseconds."""
-
-    def now_ms(self) -> float: ...
-
-
-class Wake(Protocol):
-    """A call to come that can be moved."""
-
-    def active(self) -> bool: ...
-
-    def reset(self, seconds: float) -> None: ...
-
-
-class Scheduler(Protocol):
-    """Calls back once after some seconds."""
-
-    def callLater(self, seconds: float, work: Callable[[], None]) -> Wake: ...  # noqa: N802
-
-
-class Deadline:
-    """One entry of the heap; cancelled by forgetting its work."""
-
-    __slots__ = ("due_ms", "order", "work", "of")
-
-    def __init__(self, due_ms: float, order: int, work: Callable | None, of: object) -> None:
-        self.due_ms, self.order, self.work, self.of = due_ms, order, work, of
-
-    def __lt__(self, other: Deadline) -> bool:
-        return (self.due_ms, self.order) < (other.due_ms, other.order)
-
-
-class Deadlines:
-    """One heap of deadlines behind one timer, so that a request costs no timer of its own."""
-
-    def __init__(self, clock: Clock, scheduler: Scheduler) -> None:
-        self.clock, self.scheduler = clock, scheduler
-        self.heap: list[Deadline] = []
-        self.count = self.dead = 0
-        self.wake: Wake | None = None
-        self.wake_ms = 0.0
-
-    def at(self, due_ms: float, work: Callable, of: object = None) -> Deadline:
-        """Call work(of) at that time."""
-        self.count += 1
-        entry = Deadline(due_ms, self.count, work, of)
-        heapq.heappush(self.heap, entry)
-        if self.heap[0] is entry:
-            self._arm()
-        return entry
-
-    def cancel(self, entry: Deadline | None) -> None:
-        """Forget a deadline; the heap is swept when most of it is dead."""
-        if entry is None or entry.work is None:
-            return
-        entry.work = entry.of = None
-        self.dead += 1
-        if self.dead > COMPACT_FROM and self.dead * 2 > len(self.heap):
-            self.heap = [held for held in self.heap if held.work is not None]
-            heapq.heapify(self.heap)
-            self.dead = 0
-
-    def _arm(self) -> None:
-        if not self.heap:
-            return
-        due_ms = self.heap[0].due_ms
-        active = self.wake is not None and self.wake.active()
-        if active and self.wake_ms <= due_ms:
-            return
-        self.wake_ms = due_ms
-        seconds = max(0.0, (due_ms - self.clock.now_ms()) / 1000.0)
-        if active:
-            self.wake.reset(seconds)
-        else:
-            self.wake = self.scheduler.callLater(seconds, self._ring)
-
-    def _ring(self) -> None:
-        self.wake = None
-        now_ms = self.clock.now_ms()
-        try:
-            while self.heap and self.heap[0].due_ms <= now_ms:
-                entry = heapq.heappop(self.heap)
-                work, of = entry.work, entry.of
-                if work is None:
-                    self.dead -= 1
-                    continue
-                entry.work = entry.of = None
-                work(of)
-        finally:
-            self._arm()
-
-
-class State(Enum):
-    """How far a request has come."""
-
-    OPEN = "open"  # owed a final answer
-    STANDING = "standing"  # answered; the call goes on
-    OVER = "over"
-
-
-class Request:
-    """One request of a front: owed one final answer until it is over."""
-
-    __slots__ = (
-        "id",
-        "call_class",
-        "number",
-        "valid_until_ms",
-        "destination",
-        "lines",
-        "redialled",
-        "cut_before",
-        "front",
-        "payload",
-        "context",
-        "state",
-        "attempt",
-        "tries",
-        "away_until_ms",
-        "guard",
-        "taken_ms",
-        "attempt_ms",
-        "passed",
-        "most_tries",
-    )
-
-    def __init__(
-        self, id_: str, call_class: str, valid_until_ms: float, front: Front, payload: bytes = b""
-    ) -> None:
-        self.id, self.call_class, self.valid_until_ms = id_, call_class, valid_until_ms
-        self.number, self.destination, self.lines = "", -1, 1.0
-        self.redialled = self.cut_before = False
-        self.front, self.payload = front, payload
-        self.context: object = None  # what the front keeps with it
-        self.state = State.OPEN
-        self.attempt: Attempt | None = None  # out, or carrying the standing call
-        self.tries = 0
-        self.away_until_ms = 0.0  # nothing may be sent before: what the last attempt held may stay taken
-        self.guard: Deadline | None = None
-        self.taken_ms = 0.0
-        self.attempt_ms = float("inf")  # the longest that one attempt of it may be out
-        self.passed: tuple[Filter, ...] = ()  # the filters that are told what becomes of it
-        self.most_tries = 0  # attempts allowed by the settings when it came; they stay its own
-
-
-class Attempt:
-    """One set-up of a request at one server."""
-
-    __slots__ = ("request", "server", "index", "sent_ms", "cut_at_ms", "deadline", "out", "stands")
-
-    def __init__(self, request: Request, server: str, index: int, sent_ms: float, cut_at_ms: float) -> None:
-        self.request, self.server, self.index = request, server, index
-        self.sent_ms, self.cut_at_ms = sent_ms, cut_at_ms
-        self.deadline: Deadline | None = None
-        self.out, self.stands = True, False
-
-
-class Front(Protocol):
-    """Where a request came from: it passes the one final answer on, and the end of what stands."""
-
-    def stands(self, request: Request, payload: object) -> None: ...
-
-    def refused(self, request: Request, pause_ms: float) -> None: ...
-
-    def failed(self, request: Request) -> None: ...
-
-    def over(self, request: Request, cut: bool) -> None: ...
 
 
 class FarSide(Protocol):
--- a/leadslip/filters.py
+++ b/leadslip/filters.py
@@ -8,13 +8,11 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from typing import TYPE_CHECKING, Protocol
+from typing import Protocol
 
 from leadslip.checks import Tally
 from leadslip.logs import Log
-
-if TYPE_CHECKING:
-    from leadslip.core import Request
+from leadslip.request import Request
 
 
 class Refused:
--- a/leadslip/keeper.py
+++ b/leadslip/keeper.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import time
+from typing import TYPE_CHECKING
 
 from leadslip.checks import Tally
-from leadslip.config import StoreConfig, TrunksConfig
 from leadslip.core import Deadlines
 from leadslip.logs import Log
 from leadslip.store.base import Store
@@ -13,6 +13,10 @@
 from leadslip.trunks import record
 from leadslip.trunks.traffic import Interval, Traffic
 
+if TYPE_CHECKING:
+    from leadslip.parts.store import StoreConfig
+    from leadslip.parts.trunks import TrunksConfig
+
 RETENTION_MS = 3_600_000.0  # between two rounds of rolling up and forgetting
 CLOSE_S = 0.5  # the store has so long to write what waits when the program ends
 
--- a/leadslip/net/board.py
+++ b/leadslip/net/board.py
@@ -12,7 +12,7 @@
 
 from leadslip.checks import Tally
 from leadslip.config import Address, MalformedError, Notice, notice_of
-from leadslip.core import Deadline, Deadlines
+from leadslip.deadlines import Deadline, Deadlines
 
 SILENT_MS = 2500.0  # a comment comes every second: after two have failed the connection is dead
 AGAIN_MS = 200.0  # before the next poll, so that a board that answers and ends at once is not hammered
--- a/leadslip/net/ops.py
+++ b/leadslip/net/ops.py
@@ -7,6 +7,8 @@
 | `PUT /control/out-of-service` | 200: clients are sent away |
 | `PUT /control/in-service` | 200: clients are taken again |
 
+Parts that are on add calls of their own.
+
 An unknown path is answered 404, another method 405 (with `Allow`), a request that does not parse 400 (by Twisted),
 a body of more than `MOST_BODY` bytes 413 before it is read. Nothing here touches the signalling side but by the
 callbacks it is given. A caller that does not finish its call within `CALL_MS` is closed; as nothing waits on a
@@ -16,26 +18,25 @@
 from __future__ import annotations
 
 import io
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from twisted.web import http, resource, server
 
 from leadslip.checks import Tally
 from leadslip.core import Deadlines
+from leadslip.parts import Answer, Calls
 
 MOST_BODY = 1024  # bytes that a call may carry; none of ours needs any
 CALL_MS = 2000.0  # in so long a caller has to bring its whole call
 TOO_LARGE = b"HTTP/1.1 413 Content Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
-Answer = tuple[int, bytes]  # status, body
-
 
 class Call(resource.Resource):
-    """One path: the methods it takes, each a callback that gives the status and the body."""
+    """One path: the methods it takes, each a callback that gives the answer."""
 
     isLeaf = True  # noqa: N815 (Twisted's name)
 
-    def __init__(self, methods: dict[bytes, Callable[[], Answer]]) -> None:
+    def __init__(self, methods: Mapping[bytes, Callable[[], Answer]]) -> None:
         super().__init__()
         self.methods = methods
 
@@ -48,9 +49,10 @@
             request.setResponseCode(http.NOT_ALLOWED)
             request.setHeader(b"allow", b", ".join(self.methods))
             return b"method not allowed\n"
-        status, body = act()
-        request.setResponseCode(status)
-        return body
+        answer = act()
+        request.setResponseCode(answer.status)
+        request.setHeader(b"content-type", answer.kind)
+        return answer.body
 
 
 class OpsRequest(server.Request):
@@ -112,36 +114,15 @@
 
 
 class Site(server.Site):
-    """The operators' site: the four calls, and no access log."""
+    """The operators' site: the calls it is given, below /control, and no access log."""
 
     protocol = OpsChannel
     requestFactory = OpsRequest  # noqa: N815 (Twisted's name)
 
-    def __init__(
-        self,
-        deadlines: Deadlines,
-        tally: Tally,
-        ready: Callable[[], bool],
-        counters: Callable[[], bytes],
-        out_of_service: Callable[[], None],
-        in_service: Callable[[], None],
-    ) -> None:
-        def asked() -> Answer:
-            return (http.OK, b"ready\n") if ready() else (http.SERVICE_UNAVAILABLE, b"not ready\n")
-
-        def sent_away() -> Answer:
-            out_of_service()
-            return http.OK, b"out of service\n"
-
-        def taken_back() -> Answer:
-            in_service()
-            return http.OK, b"in service\n"
-
+    def __init__(self, deadlines: Deadlines, tally: Tally, calls: Calls) -> None:
         control = resource.Resource()
-        control.putChild(b"ready", Call({b"GET": asked, b"HEAD": asked}))
-        control.putChild(b"counters", Call({b"GET": lambda: (http.OK, counters())}))
-        control.putChild(b"out-of-service", Call({b"PUT": sent_away, b"POST": sent_away}))
-        control.putChild(b"in-service", Call({b"PUT": taken_back, b"POST": taken_back}))
+        for name, methods in calls.items():
+            control.putChild(name, Call(methods))
         root = resource.Resource()
         root.putChild(b"control", control)
         super().__init__(root, timeout=None)  # the heap of deadlines bounds a call instead
--- a/leadslip/net/otlp.py
+++ b/leadslip/net/otlp.py
@@ -24,8 +24,8 @@
 
 from leadslip import interface as face
 from leadslip.checks import Tally
-from leadslip.config import OtlpConfig
 from leadslip.core import Attempt, Deadlines, Request
+from leadslip.parts.otlp import OtlpConfig
 
 SCOPE = InstrumentationScope(name="leadslip")
 NS = 1_000_000  # nanoseconds of a millisecond
--- /dev/null
+++ b/leadslip/parts/enum.py
@@ -0,0 +1,99 @@
+"""ENUM look-ups: a second front, over DNS (net/enum.py)."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from leadslip import interface as face
+from leadslip.config import Address, MalformedError, address_of, figures_of, member, turned_on
+from leadslip.parts import Around, Part
+
+
+@dataclass(frozen=True, slots=True)
+class EnumConfig:
+    """The second front, for ENUM look-ups over DNS."""
+
+    listen: Address
+    resolvers: tuple[Address, ...]
+    suffix: str
+    answer_within_ms: float
+    attempt_ms: float
+    most_held: int
+    most_connections: int
+    settings: face.Settings
+
+
+ENUM_KEYS = {  # key -> (default, least, most)
+    "answer_within_ms": (1500.0, 50.0, 60_000.0),
+    "attempt_ms": (400.0, 10.0, 60_000.0),
+    "most_attempts": (3, 1, 16),
+    "most_held": (2000, 1, 100_000),
+    "most_connections": (64, 1, 10_000),
+}
+
+
+def settings(told: Mapping, around: Around | None = None) -> EnumConfig | None:
+    """The checked configuration of the ENUM front; None where it is not turned on."""
+    if not turned_on(told, "enum", ("listen", "resolvers", "suffix", *ENUM_KEYS)):
+        return None
+    figures = figures_of(told, "enum", ENUM_KEYS)
+    listed = member(told, "resolvers", list, "enum")
+    if not listed:
+        raise MalformedError("enum.resolvers is empty")
+    resolvers = tuple(address_of(text, f"enum.resolvers.{i}") for i, text in enumerate(listed))
+    if len(set(resolvers)) < len(resolvers):
+        raise MalformedError("enum.resolvers names one twice")
+    suffix = str(told.get("suffix", "e164.arpa")).strip(".").lower()
+    if not suffix or not all(0 < len(label) < 64 for label in suffix.split(".")):
+        raise MalformedError(f"enum.suffix is no domain: {suffix!r}")
+    wait_ms = figures["answer_within_ms"]
+    lookup = face.CallClass("enum", worth=1.0, late_worth=0.0, aim_ms=wait_ms, deadline_ms=wait_ms)
+    settings = face.Settings(
+        gateways=1,
+        index=0,
+        classes=(lookup,),
+        max_attempts=figures["most_attempts"],
+        may_withdraw=True,
+        tick_ms=5.0,
+    )
+    return EnumConfig(
+        listen=address_of(member(told, "listen", str, "enum"), "enum.listen"),
+        resolvers=resolvers,
+        suffix=suffix,
+        answer_within_ms=wait_ms,
+        attempt_ms=figures["attempt_ms"],
+        most_held=figures["most_held"],
+        most_connections=figures["most_connections"],
+        settings=settings,
+    )
+
+
+class Enum(Part):
+    """The front and its engine."""
+
+    name, variable, lasting = "enum", "LEADSLIP_ENUM", "enum"
+    settings = staticmethod(settings)
+
+    @staticmethod
+    def taken(conf: EnumConfig) -> tuple[tuple[str, object], ...]:
+        return (("enum.listen", conf.listen),)
+
+    def start(self) -> None:
+        from leadslip.net import enum
+
+        node = self.node
+        node.engines.append(
+            enum.start(
+                node.reactor,
+                self.conf,
+                node.conf.seed,
+                node.deadlines,
+                node.tally,
+                node.log,
+                node.watches["dns"],
+            )
+        )
+
+
+PART = Enum
--- /dev/null
+++ b/leadslip/parts/logs.py
@@ -0,0 +1,43 @@
+"""How events are written (logs.py); never off."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from leadslip.config import MalformedError
+from leadslip.parts import Around, Part
+
+
+@dataclass(frozen=True, slots=True)
+class LogsConfig:
+    """How events are written."""
+
+    format: str = "plain"
+    level: str = "info"
+
+
+LOG_FORMATS, LOG_LEVELS = ("plain", "console", "json"), ("debug", "info", "warning", "error")
+
+
+def settings(told: Mapping, around: Around | None = None) -> LogsConfig:
+    """The checked configuration of the log; plain lines where nothing is said."""
+    for key in told:
+        if key not in ("format", "level"):
+            raise MalformedError(f"logs.{key} is unknown")
+    conf = LogsConfig(**told)
+    if conf.format not in LOG_FORMATS:
+        raise MalformedError(f"logs.format must be one of {', '.join(LOG_FORMATS)}: {conf.format!r}")
+    if conf.level not in LOG_LEVELS:
+        raise MalformedError(f"logs.level must be one of {', '.join(LOG_LEVELS)}: {conf.level!r}")
+    return conf
+
+
+class Logs(Part):
+    """Needs no wiring: the log is there before the proxy."""
+
+    name, variable, lasting = "logs", "LEADSLIP_LOGS", "logs"
+    settings = staticmethod(settings)
+
+
+PART = Logs
--- /dev/null
+++ b/leadslip/site.py
@@ -0,0 +1,40 @@
+"""A small site to try a proxy on: settings, and a whole configuration before one toy server. No I/O."""
+
+from __future__ import annotations
+
+
+def settings() -> dict:
+    """Settings of a small site with two classes of calls."""
+    common = {"aim_ms": 1500.0, "deadline_ms": 9000.0}
+    return {
+        "balancers": 1,
+        "index": 0,
+        "tick_ms": 5.0,
+        "limits": {"most_tries": 4, "cancel": True, "retry_after": True, "max_retry_after_ms": 2000.0},
+        "obligations": {
+            "cold_from": 0.3,
+            "warm_after_ms": 14000.0,
+            "tip_multiple": 2.5,
+            "tip_after_ms": 1500.0,
+            "stop_sending_within_ms": 1000.0,
+        },
+        "extra": {"guard_ms": 500.0},
+        "services": [
+            {"name": "resident-call", "gain": 1.0, "late_worth": 0.25} | common,
+            {"name": "officer-call", "gain": 3.0, "late_worth": 0.1} | common,
+        ],
+    }
+
+
+def configuration(server: int, board: int, listen: int) -> dict:
+    """A whole configuration of one proxy before the toy server."""
+    target = {"uid": "toy", "endpoint": f"127.0.0.1:{server}", "state": "active", "pod_group": 0, "az": ""}
+    return {
+        "name": "demo",
+        "listen": f"127.0.0.1:{listen}",
+        "board": f"127.0.0.1:{board}",
+        "seed": "5eed",
+        "limits": {"sockets": 256},
+        "settings": settings(),
+        "known": {"rev": 1, "notices": [{"rev": 1, "pool": {"rev": 1, "all": True, "targets": [target]}}]},
+    }
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -7,9 +7,13 @@
 
 import pytest
 
-from leadslip import config, logs
+from leadslip import logs
 from leadslip.cli import GROUPS, main
 from leadslip.config import MalformedError
+from leadslip.parts import Around
+from leadslip.parts import logs as logs_part
+from leadslip.parts import store as store_part
+from leadslip.parts import trunks as trunks_part
 from leadslip.store.base import Store
 from leadslip.trunks import record
 from tests.standins import HOST, PATIENCE_S, ROOT, settings
@@ -166,13 +170,13 @@
 @pytest.mark.parametrize(
     ("read", "given", "key"),
     [
-        (config.logs_of, {"format": "xml"}, "logs.format"),
-        (config.logs_of, {"level": "loud"}, "logs.level"),
-        (config.logs_of, {"colour": 1}, "logs.colour"),
-        (config.store_of, {"enabled": True}, "store.path"),
-        (config.store_of, {"enabled": True, "path": "folder/"}, "store.path"),
-        (config.store_of, {"enabled": True, "path": "x.db", "days": 1}, "store.days"),
-        (config.store_of, {"enabled": True, "path": "x.db", "most_mb": 0}, "store.most_mb"),
+        (logs_part.settings, {"format": "xml"}, "logs.format"),
+        (logs_part.settings, {"level": "loud"}, "logs.level"),
+        (logs_part.settings, {"colour": 1}, "logs.colour"),
+        (store_part.settings, {"enabled": True}, "store.path"),
+        (store_part.settings, {"enabled": True, "path": "folder/"}, "store.path"),
+        (store_part.settings, {"enabled": True, "path": "x.db", "days": 1}, "store.days"),
+        (store_part.settings, {"enabled": True, "path": "x.db", "most_mb": 0}, "store.most_mb"),
     ],
 )
 def test_settings_of_logs_and_store_name_the_faulty_key(read, given, key):
@@ -180,6 +184,7 @@
         read(given)
 
 
+AROUND = Around(("plain", "urgent"), {"store": True})
 GROUP = {"name": "n", "destinations": [0], "trunks": 5}
 
 
@@ -202,11 +207,11 @@
 )
 def test_settings_of_trunks_name_the_faulty_key(given, key):
     with pytest.raises(MalformedError, match=key):
-        config.trunks_of({"enabled": True} | given, True, ["plain", "urgent"])
-    assert config.trunks_of({"enabled": False}, False) is None
+        trunks_part.settings({"enabled": True} | given, AROUND)
+    assert trunks_part.settings({"enabled": False}, Around()) is None
     with pytest.raises(MalformedError, match="needs the store"):
-        config.trunks_of({"enabled": True}, False)
-    good = config.trunks_of({"enabled": True, "group": [GROUP | {"share": 0.5}]}, True)
+        trunks_part.settings({"enabled": True}, Around())
+    good = trunks_part.settings({"enabled": True, "group": [GROUP | {"share": 0.5}]}, AROUND)
     assert good.groups[0].trunks == 2.5
 
 
--- a/tests/test_configure.py
+++ b/tests/test_configure.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from leadslip import config, configure
+from leadslip import config, configure, parts
+from leadslip.parts.logs import LogsConfig
 
 SOURCE = (configure.Path(__file__).parent.parent / "example" / "applications.toml").read_text()
 
@@ -32,7 +33,7 @@
         assert configure.main(["check", *map(str, place.iterdir())]) == 0
     assert len(seeds) == 2
     enum = tmp_path / "out" / "voice-alerts" / "enum.toml"
-    assert config.load_enum({"LEADSLIP_ENUM": str(enum)}).resolvers == (("127.0.0.1", 5301),)
+    assert parts.read(told, {"LEADSLIP_ENUM": str(enum)})["enum"].resolvers == (("127.0.0.1", 5301),)
     assert not (tmp_path / "out" / "siren-desk" / "enum.toml").exists()
     capsys.readouterr()
 
@@ -67,15 +68,14 @@
 
 def test_the_files_under_deploy_are_off_and_sound():
     root = configure.Path(__file__).parent.parent
-    checks = {"enum": config.enum_of, "otlp": config.otlp_of, "store": config.store_of}
-    checks["trunks"] = lambda told: config.trunks_of(told, with_store=True)
-    assert config.logs_of(tomllib.loads((root / "deploy" / "logs.toml").read_text())) == config.LogsConfig()
-    for name, check in ((f"{kind}.toml", check) for kind, check in checks.items()):
-        told = tomllib.loads((root / "deploy" / name).read_text())
-        assert check(told) is None
-        assert check(told | {"enabled": True}) is not None
+    for name in parts.NAMES:
+        told = tomllib.loads((root / "deploy" / f"{name}.toml").read_text())
+        check, around = parts.kind(name).settings, parts.Around(settings={"store": True})
+        assert check(told, around) == (LogsConfig() if name == "logs" else None)
         with pytest.raises(config.MalformedError, match="odd is unknown"):
-            check(told | {"odd": 1})
+            check(told | {"odd": 1}, around)
+        if name != "logs":
+            assert check(told | {"enabled": True}, around) is not None
 
 
 def test_an_example_configuration_is_json_that_the_program_takes():
@@ -108,7 +108,8 @@
     assert write("b", "officer-call") == 0
     for name, kind in (("siren-desk", "resident-call"), ("voice-alerts", "officer-call")):
         place = tmp_path / "b" / name
-        (group,) = config.trunks_of(tomllib.loads((place / "trunks.toml").read_text()), True).groups
+        told_of = tomllib.loads((place / "trunks.toml").read_text())
+        (group,) = parts.kind("trunks").settings(told_of, parts.Around(settings={"store": True})).groups
         assert (group.name, group.reserve) == ("north", {kind: 2})
         assert configure.main(["check", *map(str, place.iterdir())]) == 0
     assert write("a", "officer-call") == 2 and write("c", "other") == 2
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -6,7 +6,7 @@
 import pytest
 from twisted.internet.task import Clock
 
-from leadslip import choice, core, logs
+from leadslip import choice, core, deadlines, logs
 from leadslip import interface as face
 from leadslip.checks import Tally
 from tests.helpers import PLAIN, entry, settings
@@ -154,7 +154,7 @@
     assert len(world.time.getDelayedCalls()) == before == 1
     for one in held:
         world.deadlines.cancel(one)
-    assert len(world.deadlines.heap) < 2 * core.COMPACT_FROM + 10
+    assert len(world.deadlines.heap) < 2 * deadlines.COMPACT_FROM + 10
 
 
 BREACH = """
--- a/tests/test_enum.py
+++ b/tests/test_enum.py
@@ -11,12 +11,12 @@
 from twisted.internet.task import Clock
 from twisted.names import dns
 
-from leadslip import config
 from leadslip import interface as face
 from leadslip.checks import Tally
 from leadslip.core import Deadlines, Engine
 from leadslip.net import enum
 from leadslip.net.links import MessageError
+from leadslip.parts import enum as enum_part
 from tests.standins import HOST, Program, Resolver, ask, ask_many, query, reply
 from tests.test_links import Transport
 
@@ -173,7 +173,7 @@
 
     def __init__(self):
         self.clock, self.tally = Clock(), Tally()
-        conf = config.enum_of({"enabled": True, "listen": "127.0.0.1:1", "resolvers": ["127.0.0.1:2"]})
+        conf = enum_part.settings({"enabled": True, "listen": "127.0.0.1:1", "resolvers": ["127.0.0.1:2"]})
         self.deadlines = Deadlines(self, self.clock)
         self.front = enum.EnumFront(conf, self.tally, self.deadlines)
         self.front.engine = Engine(
