--- a/leadslip/cli/__init__.py
+++ b/leadslip/cli/__init__.py
@@ -11,6 +11,9 @@
     "run": ("run", "run", "Run one proxy, as its configuration says."),
     "demo": ("demo", "demo", "Show calls through a proxy and a stand-in server, without any file."),
     "configure": ("configure", "configure", "Write and check the configuration of each application."),
+    "fleet": ("fleet", "fleet", "Show the fleet as proxies see it."),
+    "lab": ("lab", "lab", "Play many members of a fleet on a virtual clock."),
+    "drill": ("drill", "drill", "Break several processes in seeded ways, and check their histories."),
     "trunks": ("trunks", "trunks", "Dimension trunk groups, and report what was measured of them."),
 }
 
--- /dev/null
+++ b/leadslip/lab/fleet.py
@@ -0,0 +1,230 @@
+"""Many members of a fleet in the lab: the very View that serves, each on a host of the virtual network.
+
+`Fleet` starts, stops, kills, stalls and restarts members, and records what each one's view does; `known` and `agreed`
+judge from that record.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from random import Random
+
+from leadslip.checks import Tally
+from leadslip.fleet import wire
+from leadslip.fleet.view.members import Change, State, process_of
+from leadslip.fleet.view.view import Compare, Me, Pace, View
+from leadslip.lab.network import Clock, Network
+
+STEP_MS = 20.0  # between two looks for a condition
+
+
+class Host:
+    """One member: its view, whether it runs, and what waited while it was stopped."""
+
+    def __init__(self, fleet: Fleet, name: str, address: str, seeds: tuple[str, ...]) -> None:
+        self.fleet, self.name, self.address = fleet, name, address
+        self.view = View(
+            Me(name, address, f"zone{fleet.zone_of(name)}"),
+            seeds,
+            Random(fleet.draw.getrandbits(64)),
+            fleet.tally,
+            fleet.pace,
+            fleet.most_members,
+        )
+        self.up, self.stalled = True, False
+        self.inbox: list[bytes] = []
+        self.wakes_ms = float("inf")
+        self.view.listeners.append(self.changed)
+
+    @property
+    def now_ms(self) -> float:
+        return self.fleet.clock.now_ms
+
+    def changed(self, change: Change) -> None:
+        self.fleet.recorded(self, change)
+
+    def arrive(self, data: bytes) -> None:
+        if not self.up:
+            return
+        if self.stalled:
+            self.inbox.append(data)
+            return
+        try:
+            message = wire.decode(self.fleet.seal.open(data))
+        except wire.WireError as fault:
+            self.fleet.tally.add(f"fleet.refused.{fault}")
+            return
+        self.view.received(self.now_ms, message)
+        self.flush()
+
+    def wake(self) -> None:
+        if not self.up or self.stalled or self.now_ms < self.wakes_ms:
+            return
+        self.wakes_ms = float("inf")
+        self.view.due(self.now_ms)
+        self.flush()
+
+    def flush(self) -> None:
+        """Send what the view gives, and be woken when it asks."""
+        out, self.view.out = self.view.out, []
+        for one in out:
+            if isinstance(one, Compare):
+                self.fleet.compare(self, one.address)
+            else:
+                self.fleet.network.send(
+                    self.address, one.address, self.fleet.seal.close(wire.encode(one.message))
+                )
+        if self.view.wake_ms < self.wakes_ms:
+            self.wakes_ms = self.view.wake_ms
+            self.fleet.clock.at(self.wakes_ms, self.wake)
+
+    def stall(self, for_ms: float) -> None:
+        if self.up and not self.stalled:
+            self.stalled = True
+            if for_ms < float("inf"):
+                self.fleet.clock.at(self.now_ms + for_ms, self.resume)
+
+    def resume(self) -> None:
+        """As a process does: its timers first, then what waits in its sockets."""
+        if not self.up:
+            return
+        self.stalled = False
+        self.wakes_ms = float("inf")  # what was due meanwhile has passed unseen
+        self.view.due(self.now_ms)
+        self.flush()
+        waited, self.inbox = self.inbox, []
+        for data in waited[-500:]:
+            self.arrive(data)
+
+
+class Fleet:
+    """A seeded fleet of so many members."""
+
+    def __init__(self, seed: int, pace: Pace = Pace(), zones: int = 4, most_members: int = 4096) -> None:  # noqa: B008
+        self.draw, self.tally, self.pace, self.zones = Random(seed), Tally(), pace, zones
+        self.most_members = most_members
+        self.seal = wire.Seal([b"the key of the lab"])
+        self.clock = Clock()
+        self.network = Network(self.clock, Random(self.draw.getrandbits(64)))
+        self.hosts: dict[str, Host] = {}
+        self.ends: list[tuple[float, str, int, State]] = []  # when, at whom, which run, how it ended there
+
+    def zone_of(self, name: str) -> int:
+        return sum(name.encode()) % self.zones
+
+    def add(
+        self,
+        name: str,
+        seeds: tuple[str, ...] | None = None,
+        address: str = "",
+        follow: Callable[[View], None] | None = None,
+    ) -> Host:
+        """Start a member, also one that was there before and remembers nothing; `follow` is told of its view first."""
+        address = address or f"{name}:7946"
+        if seeds is None:
+            seeds = tuple(f"{one}:7946" for one in list(self.hosts)[:3])
+        host = self.hosts[name] = Host(self, name, address, seeds)
+        self.network.hosts[address] = host.arrive
+        if follow is not None:
+            follow(host.view)
+        host.view.start(self.clock.now_ms)
+        host.flush()
+        return host
+
+    def grow(self, members: int) -> None:
+        for i in range(members):
+            self.add(f"p{i:04d}")
+            self.run(10.0)
+        self.until(self.agreed, 60_000.0)
+
+    def kill(self, name: str) -> Host:
+        host = self.hosts.pop(name)
+        host.up = False
+        if self.network.hosts.get(host.address) == host.arrive:
+            del self.network.hosts[host.address]
+        return host
+
+    def leave(self, name: str) -> Host:
+        """A member leaves in good order and is gone a moment later."""
+        host = self.hosts[name]
+        host.view.leave(self.clock.now_ms)
+        host.flush()
+        self.run(300.0)
+        return self.kill(name)
+
+    def compare(self, host: Host, address: str) -> None:
+        """A comparison of tables, as over TCP."""
+
+        def work() -> int:
+            other = next((one for one in self.hosts.values() if one.address == address), None)
+            if other is None or not other.up or other.stalled or not host.up or host.stalled:
+                return 0
+            now_ms = self.clock.now_ms
+            ask = host.view.ask(now_ms, other.view.hello(1), 2)
+            told = other.view.answer(now_ms, ask)
+            better = host.view.compared(now_ms, told, 1)
+            other.view.given(now_ms, better)
+            host.flush()
+            other.flush()
+            return sum(len(wire.encode(one)) + wire.SEAL_SIZE + 4 for one in (ask, told, better))
+
+        self.network.connect(host.address, address, work)
+
+    def partition(self, *parts: Iterable[str]) -> None:
+        """Let nothing pass between these parts."""
+        part_of = {f"{name}:7946": i for i, part in enumerate(parts) for name in part}
+        self.network.links.cut = lambda source, target: part_of.get(source, -1) != part_of.get(target, -1)
+
+    def heal(self) -> None:
+        self.network.links.cut = None
+
+    def run(self, for_ms: float) -> None:
+        self.clock.run(self.clock.now_ms + for_ms)
+
+    def until(self, holds: Callable[[], bool], most_ms: float) -> float:
+        """Let time pass until a condition holds; how long it took, or inf."""
+        began_ms = self.clock.now_ms
+        while not holds():
+            if self.clock.now_ms - began_ms >= most_ms:
+                return float("inf")
+            self.run(STEP_MS)
+        return self.clock.now_ms - began_ms
+
+    def recorded(self, host: Host, change: Change) -> None:
+        """What a view has taken up; ends of lives are kept."""
+        was, now = change.was, change.now
+        if was is not None and was.live and (now is None or not now.live or now.run != was.run):
+            state = State.DEAD if now is None or now.live else now.state
+            self.ends.append((self.clock.now_ms, host.name, was.run, state))
+
+    def agreed(self) -> bool:
+        """Whether all members hold one view, and it is the truth."""
+        running = {process_of(host.view.run) for host in self.hosts.values()}
+        digests = {host.view.digest() for host in self.hosts.values()}
+        if len(digests) != 1:
+            return False
+        held = {process_of(one.run) for one in next(iter(self.hosts.values())).view.members()}
+        return held == running
+
+    def known_gone(self, run: int) -> bool:
+        """Whether nobody who runs holds this run live."""
+        return all(host.view.table.standing(run) >= State.DEAD for host in self.hosts.values())
+
+    def known(self, run: int) -> bool:
+        """Whether all who run hold this run live."""
+        return all(host.view.table.standing(run) < State.DEAD for host in self.hosts.values())
+
+    def wrongly(self) -> list[tuple[float, str, int, State]]:
+        """Ends recorded of lives whose process runs still."""
+        running = {process_of(host.view.run) for host in self.hosts.values()}
+        return [one for one in self.ends if process_of(one[2]) in running]
+
+    def traffic(self) -> tuple[float, float, float]:
+        """Datagrams, bytes in datagrams, and bytes in connections, sent so far by the mean member."""
+        count = max(1, len(self.hosts))
+        network = self.network
+        return (
+            sum(network.datagrams.values()) / count,
+            sum(network.bytes.values()) / count,
+            sum(network.streamed.values()) / count,
+        )
