Run the fleet between processes, and break it on purpose: leadslip fleet, leadslip drill

net/peers.py carries the view over UDP and TCP at one number (comparisons over TCP with tokens and bounds, one heap of deadlines on CLOCK_BOOTTIME, the reactor's timers too where the fleet is on); parts/fleet.py holds its settings, figures and GET /control/fleet. Off by default: nothing imported, no socket (tests).

The drill starts real processes, each behind a relay that treats every way between two by itself; 18 scenarios, a schedule from a seed, histories, a checker that reads only these, a shrinker.

--- /dev/null
+++ b/leadslip/cli/drill.py
@@ -0,0 +1,123 @@
+"""leadslip drill: several processes of the program, broken in seeded ways, and judged by their histories."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import json
+import shutil
+import sys
+import tempfile
+from pathlib import Path
+
+import click
+
+from leadslip.cli.told import as_json, faults, table, tell
+from leadslip.drill import check as judge
+from leadslip.drill import scenario as scenarios
+from leadslip.drill.scenario import Act, Scenario, ScenarioError
+
+sound = faults(ScenarioError)
+
+
+@click.group()
+def drill() -> None:
+    """Start several processes, break things between them, and check their histories."""
+
+
+def held(
+    scenario: Scenario, seed: int, folder: Path, acts: list[Act] | None = None, broken: str = ""
+) -> dict:
+    """Hold one drill in a folder and judge it."""
+    from leadslip.drill.run import Drill
+
+    folder.mkdir(parents=True, exist_ok=True)
+    told = asyncio.run(Drill(scenario, seed, folder, acts, broken).run())
+    breaches, figures = judge.check(folder, scenario.settle_s)
+    return {
+        "title": scenario.title,
+        "seed": seed,
+        "processes": scenario.processes,
+        "calls": told["calls"],
+        "held": not breaches,
+        "figures": figures,
+        "breaches": [dataclasses.asdict(one) for one in breaches],
+    }
+
+
+def lines_of(told: dict) -> list[str]:
+    """A result for a person."""
+    figures = ", ".join(f"{key} {value:.0f}" for key, value in told["figures"].items())
+    kept = "held" if told["held"] else "BROKEN"
+    lines = [f"{kept}: {told['title']}, seed {told['seed']}, {told['processes']} processes; {figures}"]
+    rows = [(one["invariant"], one["at_ms"], one["whose"], one["told"]) for one in told["breaches"][:20]]
+    return lines + (table(("broken", "at ms", "whose", "what"), rows) if rows else [])
+
+
+@drill.command("run")
+@click.argument("scenario", type=click.Path())
+@click.option("--seed", type=int, default=1, show_default=True, help="Draws who is hit, and when.")
+@click.option("--seeds", type=int, default=1, show_default=True, help="So many seeds, from --seed on.")
+@click.option("--keep", type=click.Path(file_okay=False), help="Keep histories, logs and schedules here.")
+@click.option("--broken", default="", help="A fault put into the program, to see the checker find it.")
+@as_json
+@sound
+def run_(scenario: str, seed: int, seeds: int, keep: str | None, broken: str, json_: bool) -> None:
+    """Hold SCENARIO (a file, or a name from `list`); 0 when all invariants held, 1 when one is broken, 2 else."""
+    from leadslip.drill.run import DrillError
+
+    told_of = scenarios.load(scenario)
+    wrong = 0
+    for one in range(seed, seed + seeds):
+        folder = (
+            Path(keep) / f"{Path(scenario).stem}-{one}" if keep else Path(tempfile.mkdtemp(prefix="drill-"))
+        )
+        try:
+            told = held(told_of, one, folder, broken=broken)
+        except DrillError as fault:
+            raise click.UsageError(str(fault)) from fault
+        finally:
+            if not keep:
+                shutil.rmtree(folder, ignore_errors=True)
+        tell(told, json_, lines_of(told))
+        wrong |= not told["held"]
+    sys.exit(int(wrong))
+
+
+@drill.command("list")
+def list_() -> None:
+    """The scenarios that come with the program."""
+    rows = []
+    for path in sorted(scenarios.HERE.glob("*.toml")):
+        told = scenarios.load(path)
+        rows.append((path.stem, told.processes, told.provokes))
+    for line in table(("scenario", "processes", "provokes"), rows):
+        click.echo(line)
+
+
+@drill.command()
+@click.argument("folder", type=click.Path(exists=True, file_okay=False))
+@click.argument("scenario", type=click.Path())
+@click.option("--broken", default="", help="The fault that was put into the program.")
+@as_json
+@sound
+def shrink(folder: str, scenario: str, broken: str, json_: bool) -> None:
+    """Take acts away from the schedule in FOLDER, as long as what is left still breaks an invariant."""
+    import msgspec
+
+    told_of = scenarios.load(scenario)
+    raw = json.loads((Path(folder) / "schedule.json").read_text())
+    acts = [msgspec.convert(one, Act) for one in raw["acts"]]
+
+    def breaks(some: list[Act]) -> bool:
+        with tempfile.TemporaryDirectory(prefix="drill-") as place:
+            return not held(told_of, raw["seed"], Path(place), some, broken)["held"]
+
+    least = scenarios.shrunk(acts, breaks)
+    (Path(folder) / "least.json").write_bytes(msgspec.json.encode({"seed": raw["seed"], "acts": least}))
+    lines = [f"{len(least)} of {len(acts)} acts still break it:"]
+    tell(
+        {"acts": len(least), "of": len(acts)},
+        json_,
+        lines + [f"{a.at_s:6.2f} s  {a.do} {' '.join(a.who)}" for a in least],
+    )
--- /dev/null
+++ b/leadslip/drill/run.py
@@ -0,0 +1,267 @@
+"""Starts the processes of a scenario, breaks them as its schedule says, and leaves histories. asyncio; loopback only.
+
+Each process has an IP of its own in 127/8 and a relay before its fleet address. All that is started is ended here,
+also when the drill is interrupted, and nothing else is.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import secrets
+import signal
+import socket
+import sys
+import time
+from pathlib import Path
+
+import msgspec
+
+from leadslip.drill.callers import VALID_MS, Caller
+from leadslip.drill.relay import PORT, Relay, Ways
+from leadslip.drill.scenario import Act, Scenario, draw_schedule, names
+from leadslip.site import configuration
+
+SIP, OPS = 5060, 7000
+READY_S = 60.0  # ends a drill whose processes don't come up; nothing is judged by it
+LEAVE_S = 6.0  # a process that was told to end is killed after so long
+
+
+class DrillError(Exception):
+    """The drill itself could not be held."""
+
+
+def own_network() -> tuple[str, socket.socket]:
+    """A /24 of loopback that no other drill of this machine uses, and the socket that holds it."""
+    for _ in range(1000):
+        prefix = f"127.{64 + secrets.randbelow(128)}.{secrets.randbelow(256)}"
+        held = socket.socket()
+        try:
+            held.bind((f"{prefix}.1", OPS))
+            held.listen(1)
+            return prefix, held
+        except OSError:
+            held.close()
+    raise DrillError("no free network on loopback")
+
+
+def live_names(view: dict) -> list[str]:
+    """The names of those that a view holds live."""
+    return sorted(one["name"] for one in view["members"] if one["state"] in ("alive", "suspect"))
+
+
+class Process:
+    """One process of the program under its name; its successors too."""
+
+    def __init__(self, drill: Drill, name: str, number: int) -> None:
+        self.drill, self.name = drill, name
+        self.ip, self.relay_ip = f"{drill.prefix}.{10 + number}", f"{drill.prefix}.{120 + number}"
+        self.starts = 0
+        self.running: list[asyncio.subprocess.Process] = []  # the older first
+        self.ops: dict[int, int] = {}  # process id -> its operators' port
+
+    async def start(self, beside: bool = False) -> None:
+        """Start it; beside an older one, as an upgrade does."""
+        self.starts += 1
+        drill, own = self.drill, f"{self.name}-{self.starts}"
+        folder = drill.folder / own
+        folder.mkdir()
+        ops = OPS + self.starts % 1000
+        conf = configuration(drill.toy[0], drill.toy[1], 0)
+        conf |= {"name": self.name, "listen": f"{self.ip}:{SIP}", "ops": f"{self.ip}:{ops}"}
+        conf["limits"] = {"sockets": 256}
+        (folder / "config.json").write_text(json.dumps(conf))
+        port = PORT + (self.starts % 1000 if beside else 0)
+        advertise = f"{self.ip}:{port}" if beside else f"{self.relay_ip}:{PORT}"
+        fleet = {
+            "enabled": True,
+            "listen": f"{self.ip}:{port}",
+            "advertise": advertise,
+            "seeds": [f"{one.relay_ip}:{PORT}" for one in list(drill.processes.values())[:3]],
+            "key_file": str(drill.folder / "fleet.key"),
+            "zone": f"zone{int(self.ip.rsplit('.', 1)[1]) % 3}",
+            "history": str(drill.folder / f"{own}.jsonl"),
+        }
+        if drill.broken:
+            fleet["broken"] = drill.broken
+        text = "".join(f"{key} = {json.dumps(value)}\n" for key, value in fleet.items())
+        (folder / "fleet.toml").write_text(text)
+        environ = {
+            key: value for key, value in os.environ.items() if not key.startswith(("LEADSLIP", "NODE"))
+        }
+        environ |= {"NODE_CONFIG": str(folder / "config.json"), "LEADSLIP_FLEET": str(folder / "fleet.toml")}
+        with open(folder / "log", "wb") as log:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "leadslip", stdout=log, stderr=log, env=environ, cwd=folder
+            )
+        self.running.append(process)
+        self.ops[process.pid] = ops
+        drill.note("started", [own], pid=process.pid)
+
+    async def view(self) -> dict | None:
+        """What its newest process tells of the fleet."""
+        if not self.running:
+            return None
+        try:
+            reader, writer = await asyncio.open_connection(self.ip, self.ops[self.running[-1].pid])
+            writer.write(b"GET /control/fleet HTTP/1.1\r\nHost: drill\r\n\r\n")
+            answer = await asyncio.wait_for(reader.read(), 5.0)
+            writer.close()
+            return json.loads(answer.partition(b"\r\n\r\n")[2])
+        except (OSError, ValueError, TimeoutError):
+            return None
+
+    def signal(self, what: signal.Signals, which: int = -1) -> None:
+        with contextlib.suppress(ProcessLookupError, IndexError):
+            self.running[which].send_signal(what)
+
+    async def end(self, which: int = -1, grace_s: float = LEAVE_S) -> None:
+        """SIGTERM, and SIGKILL where that is not enough."""
+        if not self.running:
+            return
+        process = self.running.pop(which)
+        with contextlib.suppress(ProcessLookupError):
+            process.send_signal(signal.SIGCONT)
+            process.terminate()
+        try:
+            await asyncio.wait_for(process.wait(), grace_s)
+        except TimeoutError:
+            with contextlib.suppress(ProcessLookupError):
+                process.kill()
+            await process.wait()
+
+    async def kill(self) -> None:
+        while self.running:
+            process = self.running.pop()
+            with contextlib.suppress(ProcessLookupError):
+                process.kill()
+            await process.wait()
+
+
+class Drill:
+    """One run of a scenario."""
+
+    def __init__(
+        self, scenario: Scenario, seed: int, folder: Path, acts: list[Act] | None = None, broken: str = ""
+    ) -> None:
+        self.scenario, self.seed, self.folder, self.broken = scenario, seed, folder, broken
+        self.acts = draw_schedule(scenario, seed) if acts is None else acts
+        self.processes: dict[str, Process] = {}
+        self.faults: list[dict] = []
+        self.ways = Ways(seed)
+        self.prefix, self.held = own_network()
+        self.toy: tuple[int, int] = (0, 0)
+        self.ending: set[asyncio.Task] = set()
+
+    def note(self, do: str, who: list[str] | tuple[str, ...] = (), **more: object) -> None:
+        """Keep what was done, with both clocks."""
+        mono_ms = time.clock_gettime(time.CLOCK_BOOTTIME) * 1000.0
+        self.faults.append(
+            {"unix_ms": time.time() * 1000.0, "mono_ms": mono_ms, "do": do, "who": list(who)} | more
+        )
+
+    async def run(self) -> dict:
+        """Hold the drill; the settling time and what it ended with. Histories are in the folder."""
+        scenario, folder = self.scenario, self.folder
+        (folder / "fleet.key").write_text(secrets.token_hex(32) + "\n")
+        (folder / "schedule.json").write_bytes(msgspec.json.encode({"seed": self.seed, "acts": self.acts}))
+        toy = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-c",
+            "from leadslip.cli.toy import serve; serve()",
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+        )
+        relays, callers, tasks = [], [], []
+        try:
+            self.toy = tuple(int(word) for word in (await toy.stdout.readline()).split())
+            for i, name in enumerate(names(scenario.processes)):
+                self.processes[name] = Process(self, name, i)
+            name_of = {one.ip: one.name for one in self.processes.values()}
+            for one in self.processes.values():
+                relay = Relay(self.ways, one.name, one.relay_ip, one.ip, name_of)
+                await relay.start()
+                relays.append(relay)
+            await asyncio.gather(*(one.start() for one in self.processes.values()))
+            if not await self.agreed(READY_S):
+                raise DrillError("the processes did not come to know one another")
+            self.note("agreed")
+            rate = scenario.calls_per_s / scenario.processes
+            callers = [
+                Caller(one.name, (one.ip, SIP), rate, self.seed * 1000 + i)
+                for i, one in enumerate(self.processes.values())
+            ]
+            tasks = [asyncio.create_task(caller.run()) for caller in callers]
+            await self.play()
+            self.note("faults over")
+            settled = await self.agreed(scenario.settle_s)
+            self.note("settled" if settled else "not settled")
+            for task in tasks:
+                task.cancel()
+            await asyncio.sleep(VALID_MS / 1000.0 + 0.2)  # what was called last is answered by then
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*(one.kill() for one in self.processes.values()))
+            for relay in relays:
+                await relay.stop()
+            with contextlib.suppress(ProcessLookupError):
+                toy.kill()
+            await toy.wait()
+            self.held.close()
+            calls = [call for caller in callers for call in caller.calls.values()]
+            (folder / "faults.json").write_text(json.dumps(self.faults))
+            (folder / "calls.json").write_text(json.dumps(calls))
+        return {"settled": settled, "calls": len(calls)}
+
+    async def play(self) -> None:
+        """Do each act at its time."""
+        began = time.monotonic()
+        for act in self.acts:
+            await asyncio.sleep(max(0.0, began + act.at_s - time.monotonic()))
+            await self.do(act)
+        if self.ending:
+            await asyncio.gather(*self.ending)
+
+    async def do(self, act: Act) -> None:
+        who = [self.processes[name] for name in act.who]
+        if act.ways:
+            for way in act.ways:
+                if act.do.startswith("end "):
+                    self.ways.take(tuple(way), act.do[4:])
+                else:
+                    self.ways.put(tuple(way), act.do, act.figures)
+            self.note(act.do, ways=[list(way) for way in act.ways])
+            return
+        self.note(act.do, act.who)
+        for one in who:
+            if act.do == "kill":
+                await one.kill()
+            elif act.do == "stop":
+                one.signal(signal.SIGSTOP)
+            elif act.do == "go on":
+                one.signal(signal.SIGCONT)
+            elif act.do in ("start", "start beside"):
+                await one.start(beside=act.do == "start beside")
+            elif len(one.running) > (act.do == "end the older"):
+                task = asyncio.create_task(one.end(0))
+                self.ending.add(task)
+        if act.do in ("go on", "start", "start beside"):
+            self.note(f"{act.do}, done", act.who)
+
+    async def agreed(self, most_s: float) -> bool:
+        """Whether all that run come to tell one digest, of just those that run."""
+        until = time.monotonic() + most_s
+        while True:
+            alive = [one for one in self.processes.values() if one.running]
+            views = await asyncio.gather(*(one.view() for one in alive))
+            if all(views):
+                running = sorted(one.name for one in alive for _ in one.running)
+                same = len({view["digest"] for view in views}) == 1
+                if same and all(live_names(view) == running for view in views):
+                    return True
+            if time.monotonic() > until:
+                return False
+            await asyncio.sleep(0.05)
--- /dev/null
+++ b/leadslip/net/peers.py
@@ -0,0 +1,317 @@
+"""Members of the fleet: datagrams over UDP, comparisons of tables over TCP, at one number. Off unless configured.
+
+Brings what arrives to the View and sends what it gives; decides nothing. Others are reached at the address that they
+advertise and never at a datagram's source; outgoing connections leave from the IP of `listen`. Time is the system's
+CLOCK_BOOTTIME, which goes on while a process or a machine is stopped and knows no jumps.
+"""
+
+from __future__ import annotations
+
+import random
+import socket
+import time
+from typing import TYPE_CHECKING
+
+from twisted.internet import error, protocol
+from twisted.protocols.basic import Int32StringReceiver
+
+from leadslip.checks import Tally
+from leadslip.deadlines import Deadlines
+from leadslip.fleet import wire
+from leadslip.fleet.view.view import Compare, Me, Pace, View
+from leadslip.logs import Log
+
+if TYPE_CHECKING:
+    from leadslip.parts.fleet import FleetConfig
+
+CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+SESSION_MS = 3000.0  # a comparison takes so long at the most
+MOST_TAKEN, MOST_MADE = 16, 2  # comparisons under way that others began, and that we began
+MOST_ASK = 16 * 1024  # bytes of a frame, until its sender has shown that it holds the key
+RECEIVE_BUFFER = 1 << 20  # bytes of datagrams that may wait while this process is busy or stopped
+
+
+class FleetClock:
+    """Milliseconds since the machine started, stopped time and all."""
+
+    def now_ms(self) -> float:
+        return time.clock_gettime(CLOCK) * 1000.0
+
+
+class PeerDatagrams(protocol.DatagramProtocol):
+    """The one UDP port."""
+
+    noisy = False
+
+    def __init__(self, peers: Peers) -> None:
+        self.peers = peers
+
+    def datagramReceived(self, datagram: bytes, addr: tuple[str, int]) -> None:
+        if len(datagram) > wire.MOST_DATAGRAM:
+            self.peers.tally.add("fleet.refused.long")
+        else:
+            self.peers.arrived(datagram)
+
+    def connectionRefused(self) -> None:
+        """Nobody listens there; the probe's time tells."""
+
+
+class PeerLink(Int32StringReceiver):
+    """One comparison: Hello, SyncAsk, SyncTable and SyncTable, each a sealed frame; a fault ends it."""
+
+    MAX_LENGTH = MOST_ASK
+
+    def __init__(self, peers: Peers) -> None:
+        self.peers = peers
+        self.token = random.SystemRandom().getrandbits(63)
+        self.overdue = None
+
+    def connectionMade(self) -> None:
+        deadlines = self.peers.deadlines
+        self.overdue = deadlines.at(deadlines.clock.now_ms() + SESSION_MS, self.too_late)
+        self.begin()
+
+    def begin(self) -> None:
+        """The connection is up."""
+
+    def too_late(self, _: object = None) -> None:
+        self.peers.tally.add("fleet.sessions_late")
+        self.transport.abortConnection()
+
+    def connectionLost(self, reason: object = None) -> None:
+        self.peers.deadlines.cancel(self.overdue)
+        self.peers.ended(self)
+
+    def lengthLimitExceeded(self, length: int) -> None:
+        self.peers.tally.add("fleet.refused.long")
+        self.transport.abortConnection()
+
+    def say(self, message: wire.Any) -> None:
+        self.sendString(self.peers.seal.close(wire.encode(message)))
+
+    def stringReceived(self, string: bytes) -> None:
+        try:
+            self.told(wire.decode(self.peers.seal.open(string)), self.peers.clock.now_ms())
+        except wire.WireError as fault:
+            self.peers.tally.add(f"fleet.refused.{fault}")
+            self.transport.abortConnection()
+            return
+        self.peers.flush()
+
+    def told(self, message: wire.Any, now_ms: float) -> None:
+        raise NotImplementedError
+
+
+class TakenLink(PeerLink):
+    """One that another began."""
+
+    def begin(self) -> None:
+        self.say(self.peers.view.hello(self.token))
+
+    def told(self, message: wire.Any, now_ms: float) -> None:
+        if getattr(message, "token", None) != self.token:
+            raise wire.WireError("token")
+        self.MAX_LENGTH = wire.MOST_FRAME  # who repeats our token under the key is a member
+        if isinstance(message, wire.SyncAsk):
+            self.say(self.peers.view.answer(now_ms, message))
+        elif isinstance(message, wire.SyncTable):
+            self.peers.view.given(now_ms, message)
+            self.transport.loseConnection()
+        else:
+            raise wire.WireError("misplaced")
+
+
+class MadeLink(PeerLink):
+    """One that we began."""
+
+    asked = 0  # the taker's token, once it has told it
+
+    def told(self, message: wire.Any, now_ms: float) -> None:
+        if isinstance(message, wire.Hello) and not self.asked:
+            self.asked = message.token
+            self.MAX_LENGTH = wire.MOST_FRAME
+            self.say(self.peers.view.ask(now_ms, message, self.token))
+        elif isinstance(message, wire.SyncTable) and message.token == self.token:
+            self.say(self.peers.view.compared(now_ms, message, self.asked))
+        else:
+            raise wire.WireError("misplaced")
+
+
+class TakenLinks(protocol.Factory):
+    """Takes comparisons, so many at a time."""
+
+    noisy = False
+
+    def __init__(self, peers: Peers) -> None:
+        self.peers = peers
+
+    def buildProtocol(self, addr: object) -> TakenLink | None:
+        if len(self.peers.taken) >= MOST_TAKEN:
+            self.peers.tally.add("fleet.sessions_refused")
+            return None
+        link = TakenLink(self.peers)
+        self.peers.taken.add(link)
+        return link
+
+
+class MadeLinks(protocol.ClientFactory):
+    """Begins one comparison."""
+
+    noisy = False
+
+    def __init__(self, peers: Peers) -> None:
+        self.peers = peers
+
+    def buildProtocol(self, addr: object) -> MadeLink:
+        return MadeLink(self.peers)
+
+    def clientConnectionFailed(self, connector: object, reason: object) -> None:
+        self.peers.making -= 1
+
+
+class Peers:
+    """The transport of one member, and its view."""
+
+    def __init__(self, reactor: object, conf: FleetConfig, name: str, tally: Tally, log: Log) -> None:
+        self.reactor, self.conf, self.name, self.tally, self.log = reactor, conf, name, tally, log
+        self.clock = FleetClock()
+        # Guards against a Unix clock that jumps: the reactor's timers would wait out an hour that never was. Timers
+        # set before would go by the other clock: this is made before there are any.
+        reactor.seconds = lambda: time.clock_gettime(CLOCK)
+        self.deadlines = Deadlines(self.clock, reactor)
+        self.seal = wire.Seal(conf.keys)
+        self.draw = random.SystemRandom()
+        self.taken: set[PeerLink] = set()
+        self.making = 0
+        self.wake = None
+        self.stopped = False
+        self.datagrams = self.port = self.view = None
+
+    def start(self, facts: dict[str, str | int]) -> None:
+        """Bind both, TCP first, and join. Raises CannotListenError where the address can't be had."""
+        host, number = self.conf.listen
+        advertise = self.conf.advertise
+        try:
+            self._bind(host, number)
+        except error.CannotListenError:
+            if advertise != self.conf.listen:
+                raise
+            # Another run of this proxy holds it, as during an upgrade: two runs are two members.
+            self._bind(host, 0)
+        bound = self.port.getHost().port
+        if advertise == self.conf.listen:
+            advertise = (host, bound)
+        me = Me(self.name, "{}:{}".format(*advertise), self.conf.zone, facts)
+        seeds = tuple("{}:{}".format(*seed) for seed in self.conf.seeds)
+        kind = View
+        if self.conf.broken:
+            from leadslip.drill.broken import KINDS
+
+            kind = KINDS[self.conf.broken]
+        # The view draws from a generator of its own; only its seed comes from the system.
+        draw = random.Random(self.draw.getrandbits(64))
+        self.view = kind(me, seeds, draw, self.tally, Pace(), self.conf.most_members)
+        if self.conf.history:
+            from leadslip.fleet import history
+
+            history.follow(self.view, history.to_file(self.conf.history))
+        self.view.start(self.clock.now_ms())
+        self.flush()
+        self.log("fleet.serves", address=me.address, run=f"{self.view.run:016x}")
+
+    def _bind(self, host: str, number: int) -> None:
+        """One number for both; a number that the system drew may be taken over UDP, then another is drawn."""
+        for left in range(8, 0, -1):
+            port = self.reactor.listenTCP(number, TakenLinks(self), backlog=64, interface=host)
+            try:
+                self.datagrams = PeerDatagrams(self)
+                self.udp = self.reactor.listenUDP(
+                    port.getHost().port, self.datagrams, interface=host, maxPacketSize=wire.MOST_DATAGRAM + 1
+                )
+            except error.CannotListenError:
+                port.stopListening()
+                if number or left == 1:
+                    raise
+                continue
+            self.udp.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
+            self.port = port
+            return
+
+    def arrived(self, datagram: bytes) -> None:
+        """One datagram: nothing of it counts before its seal does."""
+        try:
+            message = wire.decode(self.seal.open(datagram))
+        except wire.WireError as fault:
+            self.tally.add(f"fleet.refused.{fault}")
+            return
+        if self.stopped:
+            return
+        self.view.received(self.clock.now_ms(), message)
+        self.flush()
+
+    def flush(self) -> None:
+        """Send what the view gives, and be woken when it asks."""
+        if self.stopped:
+            return
+        out, self.view.out = self.view.out, []
+        for one in out:
+            if isinstance(one, Compare):
+                self._compare(one.address)
+            else:
+                self._send(one.address, one.message)
+        if self.wake is None or self.wake.work is None or self.view.wake_ms < self.wake.due_ms:
+            self.deadlines.cancel(self.wake)
+            self.wake = self.deadlines.at(self.view.wake_ms, self._due)
+
+    def _due(self, _: object = None) -> None:
+        self.wake = None
+        if not self.stopped:
+            self.view.due(self.clock.now_ms())
+            self.flush()
+
+    def _send(self, address: str, message: wire.Any) -> None:
+        data = self.seal.close(wire.encode(message))
+        if not self.tally.must(len(data) <= wire.MOST_DATAGRAM, "a datagram of the fleet keeps its size"):
+            return
+        host, _, port = address.rpartition(":")
+        try:
+            self.datagrams.transport.write(data, (host, int(port)))
+        except (OSError, ValueError):  # no way there, or no room: lost, as datagrams are
+            self.tally.add("fleet.unsent")
+
+    def _compare(self, address: str) -> None:
+        if self.making >= MOST_MADE:
+            self.tally.add("fleet.sessions_waiting")
+            return
+        host, _, port = address.rpartition(":")
+        self.making += 1
+        self.reactor.connectTCP(
+            host,
+            int(port),
+            MadeLinks(self),
+            timeout=SESSION_MS / 1000.0,
+            bindAddress=(self.conf.listen[0], 0),
+        )
+
+    def ended(self, link: PeerLink) -> None:
+        """A comparison is over."""
+        if link in self.taken:
+            self.taken.discard(link)
+        else:
+            self.making -= 1
+
+    def rekey(self, keys: tuple[bytes, ...]) -> None:
+        """Sign with the first of these keys from now on, and take them all."""
+        self.seal = wire.Seal(keys)
+
+    def stop(self) -> None:
+        """Leave in good order."""
+        if self.view is None or self.stopped:
+            return
+        self.view.leave(self.clock.now_ms())
+        self.flush()
+        self.stopped = True
+        self.deadlines.cancel(self.wake)
+        self.port.stopListening()
+        for link in list(self.taken):
+            link.transport.loseConnection()
--- a/leadslip/parts/__init__.py
+++ b/leadslip/parts/__init__.py
@@ -20,7 +20,7 @@
     from leadslip.core import Watcher
     from leadslip.filters import Filter
 
-NAMES = ("logs", "otlp", "store", "trunks", "enum")  # in the order in which they are read and wired
+NAMES = ("logs", "otlp", "store", "trunks", "enum", "fleet")  # in the order in which they are read and wired
 
 
 @dataclass(slots=True)
