End the calls of a process whose address another has taken

Now news of a server at an address held by another ends the other's calls. The test fails without the change.

--- a/leadslip/net/servers.py
+++ b/leadslip/net/servers.py
@@ -559,6 +559,12 @@
                     self._gone(held)
                 continue
             if held is None:
+                # Guards against calls that end with a process whose address another has taken: what we have open
+                # there may be the newcomer's, which says nothing of them.
+                for other in [one for one in self.servers.values() if one.address == addresses[entry.server]]:
+                    self._gone(other)
+                    other.cut()
+                    self.tidy(other)
                 held = self.servers[entry.server] = Server(
                     self, entry.server, addresses[entry.server], entry.state, entry.online_since_ms
                 )
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -244,3 +244,21 @@
     day.wait(15_000)
     assert len(day.server.ended_ms) > 60 and day.untold() == {}
     assert not day.engine.standing and day.server.dials <= 14
+
+
+def test_calls_of_a_process_whose_address_another_has_taken_are_over():
+    """Of the untouched program of then: a connection to the newcomer passed for one to the process that had died."""
+    day = Day(1, hold_ms=1e6, again=False)
+    for _ in range(12):
+        day.call()
+        day.wait(15)
+    day.wait(200)
+    day.server.standing.clear()  # it dies, and another listens there before anybody tells
+    for wire in list(day.server.wires):
+        wire.end(error.ConnectionLost())
+    day.wait(2000)
+    assert len(day.engine.standing) == 12 and day.far.servers["s0"].up
+    told = face.ListNews(face.NewsKind.CHANGES, (entry("s1", 0),))
+    day.far.listed(told, {"s1": ADDRESS["s0"]})
+    day.engine.news(told)
+    assert len(day.over_ms) == 12 and not day.engine.standing and list(day.far.servers) == ["s1"]
