--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -6,27 +6,38 @@
 python -m benchmarks.fleet traffic                             # 50 to 1,000 members, in calm
 python -m benchmarks.fleet trouble --members 200               # herd, rolling restart, flapping: traffic over calm
 python -m benchmarks.fleet cost --members 200                  # us a datagram, memory a member
+python -m benchmarks.fleet calls                               # real processes: calls with the fleet on against off
 """
 
 from __future__ import annotations
 
+import asyncio
+import itertools
 import json
+import os
 import random
+import secrets
 import statistics
 import sys
+import tempfile
 import time
 import tracemalloc
+from pathlib import Path
 
 import click
 
 from leadslip.checks import Tally
+from leadslip.drill.callers import Caller
+from leadslip.drill.run import own_network
 from leadslip.fleet import wire
 from leadslip.fleet.view import suspicion
 from leadslip.fleet.view.members import process_of
 from leadslip.fleet.view.view import View
 from leadslip.lab.fleet import Fleet
 from leadslip.lab.network import Clock, Network
+from leadslip.site import configuration
 
+WINDOW_S = 10  # traffic in trouble is told of the worst so many seconds, besides the whole
 PARTS = ("all", "no health", "no confirmation", "no telling", "none")
 
 
@@ -37,7 +48,7 @@
     if parts in ("no confirmation", "none"):
         suspicion.Suspicion.due_ms = lambda self: self.since_ms + self.late_ms + self.least_ms
     if parts in ("no telling", "none"):
-        View._pick = lambda self, now_ms, to: self.rumours.pick(now_ms, len(self.table), 1000, self.table.get)
+        View._first = lambda self, now_ms, to: []
 
 
 def tell(**figures: object) -> None:
@@ -135,7 +146,9 @@
     fleet.grow(members)
     fleet.network.links.lost = lost
     before, stopped = fleet.traffic(), []
-    for _ in range(int(minutes * 60)):
+    for second in range(int(minutes * 60)):
+        if second % 300 == 299:
+            click.echo(f"after {second + 1} s: {len(fleet.wrongly())} ends of who runs", err=True)
         # Nobody twice in a row: that were two seconds at a time.
         stopped = fleet.draw.sample(
             [host for host in fleet.hosts.values() if host not in stopped], members // 10 or 1
@@ -237,7 +250,7 @@
         for name in sorted(fleet.hosts):
             fleet.leave(name)
             fleet.add(name)
-            fleet.run(max(0.0, 20_000.0 / members - 300.0))
+            fleet.run(700.0)
 
     def flapping(fleet: Fleet) -> None:
         names = sorted(fleet.hosts)
@@ -250,18 +263,32 @@
     for what in (herd, rolling, flapping):
         fleet = Fleet(seed)
         fleet.grow(members)
+        fleet.run(10_000.0)
         base = calm(fleet)
-        before, began_ms = total(fleet), fleet.clock.now_ms
+        sums: list[float] = []
+
+        def sample(fleet: Fleet = fleet, sums: list[float] = sums) -> None:
+            sums.append(total(fleet))
+            fleet.clock.at(fleet.clock.now_ms + 1000.0, sample)
+
+        sample()
+        began_ms = fleet.clock.now_ms
         what(fleet)
+        took_ms = fleet.clock.now_ms - began_ms
         settled_ms = fleet.until(fleet.agreed, 60_000.0)
-        spent = (total(fleet) - before) / members / (fleet.clock.now_ms - began_ms) * 1000.0
+        fleet.run(WINDOW_S * 1000.0)
+        rates = [(after - before) / members for before, after in itertools.pairwise(sums)]
+        whole_s = min(len(rates), max(WINDOW_S, round((took_ms + settled_ms) / 1000.0)))
+        windows = [sum(rates[i : i + WINDOW_S]) / WINDOW_S for i in range(max(1, len(rates) - WINDOW_S + 1))]
         tell(
             what=what.__name__,
             members=members,
             calm_bytes_s=base,
-            bytes_s=spent,
-            times=spent / base,
+            took_ms=took_ms,
             settled_ms=settled_ms,
+            times=sum(rates[:whole_s]) / whole_s / base,
+            worst_window=max(windows) / base,
+            worst_second=max(rates) / base,
         )
 
 
@@ -277,13 +304,15 @@
     """Microseconds for a datagram taken and answered, sealed and all, and memory of one view."""
     fleet = Fleet(seed)
     fleet.grow(members)
+    fleet.run(20_000.0)
     view = fleet.hosts["p0000"].view
     others = [host.view for host in list(fleet.hosts.values())[1:]]
     seal = wire.Seal([b"k" * 32])
     pings = []
     for i in range(20_000):
         other = others[i % len(others)]
-        ping = wire.Ping(next(other.counts), other.run, view.run, i, other.me.address, members, view.digest())
+        digest = view.table.live_digest
+        ping = wire.Ping(next(other.counts), other.run, view.run, i, other.me.address, members, digest)
         pings.append(seal.close(wire.encode(ping)))
     began = time.perf_counter()
     for data in pings:
@@ -307,5 +336,109 @@
     tell(members=members, us_a_datagram=us, view_kb=(after - before) / 1024.0, timers_share_of_core=busy)
 
 
+@main.command()
+@click.option(
+    "--members", type=int, default=8, show_default=True, help="Of the fleet beside which is measured."
+)
+@seed_
+@click.option("--rate", type=float, default=56.0, show_default=True, help="Calls a second at one process.")
+@click.option("--seconds", type=float, default=10.0, show_default=True)
+@click.option("--rounds", type=int, default=6, show_default=True)
+def calls(members: int, seed: int, rate: float, seconds: float, rounds: int) -> None:
+    """Calls at one process with the fleet on against one with it off: each round both, in turn first."""
+    with tempfile.TemporaryDirectory(prefix="fleet-calls-") as place:
+        tell(
+            members=members,
+            rate=rate,
+            **asyncio.run(paired(Path(place), members, seed, rate, seconds, rounds)),
+        )
+
+
+async def paired(
+    place: Path, members: int, seed: int, rate: float, seconds: float, rounds: int
+) -> dict[str, object]:
+    """Real processes on loopback, one toy server behind all of them."""
+    prefix, held = own_network()
+    toy = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-c",
+        "from leadslip.cli.toy import serve; serve()",
+        stdin=asyncio.subprocess.PIPE,
+        stdout=asyncio.subprocess.PIPE,
+    )
+    running: list[asyncio.subprocess.Process] = []
+    try:
+        server, board = (int(word) for word in (await toy.stdout.readline()).split())
+        (place / "fleet.key").write_text(secrets.token_hex(32) + "\n")
+
+        async def start(i: int, fleet: bool) -> asyncio.subprocess.Process:
+            folder = place / str(i)
+            folder.mkdir()
+            conf = configuration(server, board, 0) | {"name": f"n{i}", "listen": f"{prefix}.{10 + i}:5060"}
+            (folder / "config.json").write_text(json.dumps(conf))
+            environ = {
+                key: told for key, told in os.environ.items() if not key.startswith(("LEADSLIP", "NODE"))
+            }
+            environ["NODE_CONFIG"] = str(folder / "config.json")
+            if fleet:
+                (folder / "fleet.toml").write_text(
+                    f'enabled = true\nlisten = "{prefix}.{10 + i}:7946"\nseeds = ["{prefix}.10:7946"]\n'
+                    f'key_file = "{place / "fleet.key"}"\n'
+                )
+                environ["LEADSLIP_FLEET"] = str(folder / "fleet.toml")
+            with open(folder / "log", "wb") as log:
+                return await asyncio.create_subprocess_exec(
+                    sys.executable, "-O", "-m", "leadslip", stdout=log, stderr=log, env=environ, cwd=folder
+                )
+
+        for i in range(members):
+            running.append(await start(i, True))
+        running.append(await start(members, False))
+        await asyncio.sleep(5.0)
+        sides = {"on": 0, "off": members}
+        told: dict[str, list[list[float]]] = {"on": [], "off": []}
+        for one in range(rounds):
+            for side in ("on", "off") if one % 2 else ("off", "on"):
+                at = sides[side]
+                told[side].append(
+                    await called(f"{prefix}.{10 + at}", running[at].pid, rate, seconds, seed + one)
+                )
+        return {side: summed(results) for side, results in told.items()}
+    finally:
+        for process in [*running, toy]:
+            process.kill()
+            await process.wait()
+        held.close()
+
+
+async def called(ip: str, pid: int, rate: float, seconds: float, seed: int) -> list[float]:
+    """One round: share answered with 200, latency p50 and p99 in ms, share of a core."""
+    caller = Caller("n", (ip, 5060), rate, seed)
+    before, began = cpu_s(pid), time.monotonic()
+    task = asyncio.create_task(caller.run())
+    await asyncio.sleep(seconds)
+    busy = (cpu_s(pid) - before) / (time.monotonic() - began)
+    task.cancel()
+    await asyncio.sleep(1.0)
+    good = [one for one in caller.calls.values() if [code for _, code in one["answers"]] == [200]]
+    waits = sorted(one["answers"][0][0] - one["at_ms"] for one in good)
+    return [len(good) / len(caller.calls), statistics.median(waits), waits[int(len(waits) * 0.99)], busy]
+
+
+def cpu_s(pid: int) -> float:
+    """What a process has used of the processors so far."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def summed(rounds: list[list[float]]) -> dict[str, list[float]]:
+    """Each figure of the rounds: the least, the median and the greatest."""
+    names = ("answered", "p50_ms", "p99_ms", "core")
+    return {
+        name: [min(told), statistics.median(told), max(told)]
+        for name, told in zip(names, zip(*rounds, strict=True), strict=True)
+    }
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/leadslip/__main__.py
+++ b/leadslip/__main__.py
@@ -188,11 +188,19 @@
         if self.readiness.out_of_service(self.clock.now_ms()):
             self.log("out_of_service")
             self.clients.send_away()
+            self.told_service()
 
     def back(self) -> None:
         """Operators take clients again."""
         if self.readiness.in_service():
             self.log("in_service")
+            self.told_service()
+
+    def told_service(self) -> None:
+        """Tell the parts whether this proxy takes clients."""
+        told = self.readiness.service()
+        for part in self.parts.values():
+            part.service(told)
 
     def unknown_end(self, call: bytes, cut: bool) -> None:
         """A server ends a call never held here: it stands since before a restart, and its caller is told."""
@@ -244,6 +252,7 @@
         if self.port is not None:
             self.deadlines.at(self.clock.now_ms() + LISTEN_AFTER_END_MS, lambda _: stop_shared(self.port))
         self.log("draining")
+        self.told_service()
         self.clients.send_away()
         self.drained()
 
--- a/leadslip/cli/drill.py
+++ b/leadslip/cli/drill.py
@@ -6,8 +6,10 @@
 import dataclasses
 import json
 import shutil
+import signal
 import sys
 import tempfile
+from collections.abc import Sequence
 from pathlib import Path
 
 import click
@@ -32,7 +34,13 @@
     from leadslip.drill.run import Drill
 
     folder.mkdir(parents=True, exist_ok=True)
-    told = asyncio.run(Drill(scenario, seed, folder, acts, broken).run())
+
+    async def whole() -> dict:
+        # A SIGTERM ends what was started, as an interrupt does.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+        return await Drill(scenario, seed, folder, acts, broken).run()
+
+    told = asyncio.run(whole())
     breaches, figures = judge.check(folder, scenario.settle_s)
     return {
         "title": scenario.title,
@@ -45,6 +53,16 @@
     }
 
 
+def drawn(title: str, histories: dict, faults: list[dict], path: str, traffic: Sequence = ()) -> None:
+    """Draw a run; where the library is missing, the command ends with 2."""
+    try:
+        from leadslip.drill.plot import draw
+
+        draw(title, histories, faults, path, traffic)
+    except ImportError as fault:
+        raise click.UsageError("plots need leadslip[plots]") from fault
+
+
 def lines_of(told: dict) -> list[str]:
     """A result for a person."""
     figures = ", ".join(f"{key} {value:.0f}" for key, value in told["figures"].items())
@@ -60,9 +78,14 @@
 @click.option("--seeds", type=int, default=1, show_default=True, help="So many seeds, from --seed on.")
 @click.option("--keep", type=click.Path(file_okay=False), help="Keep histories, logs and schedules here.")
 @click.option("--broken", default="", help="A fault put into the program, to see the checker find it.")
+@click.option(
+    "--plot", type=click.Path(dir_okay=False), help="Draw the (last) run into this SVG or PNG file."
+)
 @as_json
 @sound
-def run_(scenario: str, seed: int, seeds: int, keep: str | None, broken: str, json_: bool) -> None:
+def run_(
+    scenario: str, seed: int, seeds: int, keep: str | None, broken: str, plot: str | None, json_: bool
+) -> None:
     """Hold SCENARIO (a file, or a name from `list`); 0 when all invariants held, 1 when one is broken, 2 else."""
     from leadslip.drill.run import DrillError
 
@@ -74,8 +97,12 @@
         )
         try:
             told = held(told_of, one, folder, broken=broken)
+            if plot:
+                drawn(f"{told_of.title}, seed {one}", *judge.records(folder), plot)
         except DrillError as fault:
             raise click.UsageError(str(fault)) from fault
+        except asyncio.CancelledError:
+            sys.exit(128 + signal.SIGTERM)
         finally:
             if not keep:
                 shutil.rmtree(folder, ignore_errors=True)
--- a/leadslip/cli/fleet.py
+++ b/leadslip/cli/fleet.py
@@ -2,15 +2,21 @@
 
 from __future__ import annotations
 
+import contextlib
 import http.client
+import itertools
 import json
 import sys
 import time
+from typing import TYPE_CHECKING
 
 import click
 
 from leadslip.cli.told import as_json, table, tell
 
+if TYPE_CHECKING:
+    from rich.table import Table
+
 
 def asked(ops: str, path: str) -> dict:
     """The answer of a proxy's operators' address; ends the command with 2 where there is none."""
@@ -37,19 +43,41 @@
     """The fleet as a proxy sees it."""
 
 
-def rows_of(told: dict) -> list[str]:
-    rows = [
-        (
-            one["name"],
-            one["run"],
-            one["address"],
-            one["zone"],
-            one["state"] + ("" if one["way"] == "straight" else " (through others)"),
-            round(one["since_ms"] / 1000.0, 1),
+COLOURS = {"alive": "green", "suspect": "yellow", "dead": "red", "left": "dim"}
+
+
+def members_of(told: dict, title: str = "") -> Table:
+    """Who is there, as a table."""
+    from rich.markup import escape
+    from rich.table import Table
+
+    shown = Table(title=title or None)
+    for name in ("name", "run", "address", "zone", "state", "way", "takes calls", "version"):
+        shown.add_column(name)
+    shown.add_column("for s", justify="right")
+    for one in told["members"]:
+        facts = one["facts"]
+        state = f"[{COLOURS[one['state']]}]{one['state']}[/]"
+        way = "straight" if one["way"] == "straight" else "through others"
+        cells = escape(one["name"]), one["run"], one["address"], escape(one["zone"]), state, way
+        service = facts.get("service", "?")
+        taking = {"in": "yes", "out": "no, out of service", "ending": "no, ending"}.get(
+            service, escape(str(service))
         )
-        for one in told["members"]
-    ]
-    return table(("name", "run", "address", "zone", "state", "for s"), rows)
+        shown.add_row(
+            *cells, taking, escape(str(facts.get("version", "?"))), f"{one['since_ms'] / 1000.0:.1f}"
+        )
+    return shown
+
+
+def shown(table: Table) -> None:
+    """Print a table; as wide as it is where no terminal tells a width."""
+    from rich.console import Console
+
+    console = Console()
+    if not console.is_terminal:
+        console = Console(width=200)
+    console.print(table)
 
 
 @fleet.command()
@@ -59,7 +87,11 @@
     """Who is there."""
     told = asked(ops, "/control/fleet")
     live = sum(one["state"] in ("alive", "suspect") for one in told["members"])
-    tell(told, json_, [*rows_of(told), f"{live} live; digest {told['digest']}"])
+    if json_:
+        tell(told, json_)
+        return
+    shown(members_of(told))
+    click.echo(f"{live} live; digest {told['digest']}")
 
 
 @fleet.command()
@@ -69,23 +101,33 @@
 )
 @click.option("--looks", type=int, default=0, help="So many looks; 0: until interrupted.")
 def watch(ops: str, every_s: float, looks: int) -> None:
-    """Show the view again and again, with what has changed."""
-    before: dict[str, str] = {}
-    done = 0
-    while not looks or done < looks:
-        told = asked(ops, "/control/fleet")
-        now = {f"{one['name']} {one['run']}": one["state"] for one in told["members"]}
-        if done == 0:
-            for line in rows_of(told):
-                click.echo(line)
-        for key in sorted(before.keys() | now.keys()):
-            if done and before.get(key) != now.get(key):
-                click.echo(
-                    f"{time.strftime('%H:%M:%S')} {key}: {before.get(key, '-')} -> {now.get(key, 'forgotten')}"
-                )
-        before, done = now, done + 1
-        if not looks or done < looks:
+    """Show the view as it changes: on a terminal in place, with the changes above it; else the changes alone."""
+    from rich.console import Console
+    from rich.live import Live
+
+    console = Console()
+    told = asked(ops, "/control/fleet")
+    if not console.is_terminal:
+        shown(members_of(told))
+    before = states_of(told)
+    live = Live(members_of(told, ops), console=console, auto_refresh=False)
+    with live if console.is_terminal else contextlib.nullcontext():
+        for look in itertools.count(1):
+            live.update(members_of(told, ops), refresh=console.is_terminal)
+            if look == looks:
+                break
             time.sleep(every_s)
+            told = asked(ops, "/control/fleet")
+            now = states_of(told)
+            for key in sorted(before.keys() | now.keys()):
+                if before.get(key) != now.get(key):
+                    change = f"{key}: {before.get(key, '-')} -> {now.get(key, 'forgotten')}"
+                    console.print(f"{time.strftime('%H:%M:%S')} {change}", highlight=False)
+            before = now
+
+
+def states_of(told: dict) -> dict[str, str]:
+    return {f"{one['name']} {one['run']}": one["state"] for one in told["members"]}
 
 
 @fleet.command()
--- a/leadslip/cli/lab.py
+++ b/leadslip/cli/lab.py
@@ -6,6 +6,7 @@
 
 import click
 
+from leadslip.cli.drill import drawn
 from leadslip.cli.told import as_json, faults, table, tell
 from leadslip.drill.scenario import ScenarioError, load
 
@@ -19,13 +20,18 @@
 @click.argument("scenario", type=click.Path())
 @click.option("--members", type=click.IntRange(2, 4000), default=200, show_default=True)
 @click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--plot", type=click.Path(dir_okay=False), help="Draw the run into this SVG or PNG file.")
 @as_json
 @faults(ScenarioError)
-def fleet(scenario: str, members: int, seed: int, json_: bool) -> None:
+def fleet(scenario: str, members: int, seed: int, plot: str | None, json_: bool) -> None:
     """Play a drill's SCENARIO with so many members; 0 when all invariants held, 1 when one is broken."""
     from leadslip.lab.play import Play
 
-    told = Play(load(scenario), members, seed).run()
+    play = Play(load(scenario), members, seed)
+    told = play.run()
+    if plot:
+        title = f"{told['title']}, {members} members, seed {seed}"
+        drawn(title, play.histories, play.faults, plot, play.traffic)
     lines = [
         f"{'held' if told['held'] else 'BROKEN'}: {told['title']}, {members} members, seed {seed}",
         f"settled after {told['figures']['settled_ms']:.0f} ms; joined within {told['joined_ms']:.0f} ms at the start",
--- a/leadslip/drill/broken.py
+++ b/leadslip/drill/broken.py
@@ -1,12 +1,18 @@
-"""Views with one fault each, to prove that the checker sees it. For drills of debug builds only (parts/fleet.py)."""
+"""Views with one fault each, to prove that the checker sees it, and one that is a version behind.
+
+For drills of debug builds only (parts/fleet.py).
+"""
 
 from __future__ import annotations
 
+import time
 from dataclasses import replace
 
+import msgspec
+
 from leadslip.fleet import wire
 from leadslip.fleet.view.members import Member, State, Table
-from leadslip.fleet.view.view import View
+from leadslip.fleet.view.view import Me, View
 
 
 class Deaf(View):
@@ -58,4 +64,35 @@
         return super().hear(told, now_ms)
 
 
-KINDS = {"deaf": Deaf, "apart": Apart, "forgiving": Forgiving}
+class Waiting(View):
+    """Holds up its whole process until it is sure of a death (breaks C1: no call waits for the fleet)."""
+
+    def _verdict(self, now_ms: float, key: int) -> None:
+        if key in self.suspicions:
+            time.sleep(6.0)
+        super()._verdict(now_ms, key)
+
+
+class Former(View):
+    """Speaks wire version 1 alone, as the program did: no facts of its own, no editions; version 2 is refused."""
+
+    speaks = 1
+
+    def __init__(self, me: Me, *told: object) -> None:
+        super().__init__(replace(me, facts={}), *told)
+
+    def change_facts(self, now_ms: float, facts: dict[str, str | int]) -> None:
+        return
+
+    def _news(self, now_ms: float, message: wire.Ping | wire.Ack | wire.Gossip) -> None:
+        super()._news(now_ms, msgspec.structs.replace(message, full=self._former(message.full)))
+
+    def _merge(self, now_ms: float, members: list[wire.Full]) -> None:
+        super()._merge(now_ms, self._former(members))
+
+    @staticmethod
+    def _former(members: list[wire.Full]) -> list[wire.Full]:
+        return [msgspec.structs.replace(one, edition=0) for one in members]
+
+
+KINDS = {"deaf": Deaf, "apart": Apart, "forgiving": Forgiving, "waiting": Waiting, "former": Former}
--- a/leadslip/drill/callers.py
+++ b/leadslip/drill/callers.py
@@ -8,6 +8,7 @@
 from random import Random
 
 VALID_MS = 3000.0
+AGAIN_S = 0.2  # between two tries to reach a process that does not listen
 ID = re.compile(rb"\r\nCall-ID: *([0-9a-fA-F]{16})", re.IGNORECASE)
 LENGTH = re.compile(rb"\r\nContent-Length: *(\d+)", re.IGNORECASE)
 INVITE = (
@@ -29,11 +30,13 @@
     async def run(self) -> None:
         """Call until cancelled."""
         while True:
-            await asyncio.sleep(self.draw.expovariate(self.rate))
             try:
                 if self.writer is None or self.writer.is_closing():
                     reader, self.writer = await asyncio.open_connection(*self.address)
                     asyncio.get_running_loop().create_task(self.listen(reader, self.writer))
+                await asyncio.sleep(self.draw.expovariate(self.rate))
+                if self.writer.is_closing():
+                    continue
                 id_ = f"{self.draw.getrandbits(64):016x}"
                 call = {
                     "id": id_,
@@ -48,6 +51,7 @@
                 await self.writer.drain()
             except OSError:
                 self.writer = None
+                await asyncio.sleep(AGAIN_S)
 
     async def listen(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Note answers until the connection ends; what is open on it then is lost with it."""
--- a/leadslip/drill/check.py
+++ b/leadslip/drill/check.py
@@ -3,7 +3,7 @@
 V1: no live, reachable, unstalled member is dead in a reachable, unstalled member's view for over two seconds.
 V2: once faults end, all that live hold one digest within the settling time.
 V3: a run that was declared dead never counts as that run again, at whoever held it dead.
-C1: one final answer a call, in time, where the called process was neither killed nor stopped meanwhile.
+C1: one final answer a call, in time, where the called process was neither killed, stopped nor sent out of service.
 """
 
 from __future__ import annotations
@@ -46,10 +46,15 @@
     return told
 
 
+def records(folder: Path) -> tuple[dict[str, list[dict]], list[dict]]:
+    """The histories of a drill, and its record of faults."""
+    histories = {path.stem: lines(path) for path in sorted(folder.glob("*.jsonl"))}
+    return histories, json.loads((folder / "faults.json").read_text())
+
+
 def check(folder: Path, settle_s: float) -> tuple[list[Breach], dict[str, float]]:
     """All breaches, and figures: how long views took to settle, the longest wrong end, calls judged."""
-    histories = {path.stem: lines(path) for path in sorted(folder.glob("*.jsonl"))}
-    faults = json.loads((folder / "faults.json").read_text())
+    histories, faults = records(folder)
     return judge(histories, faults, json.loads((folder / "calls.json").read_text()), settle_s)
 
 
@@ -236,9 +241,9 @@
     touched: dict[str, list[Span]] = {}
     for one in faults:
         for name in one["who"]:
-            if one["do"] in ("kill", "stop", "end", "end the older", "start beside"):
+            if one["do"] in ("kill", "stop", "end", "end the older", "start beside", "out of service"):
                 touched.setdefault(name, []).append(Span(one["unix_ms"], NO_END))
-            elif one["do"] in ("go on, done", "start, done") and touched.get(name):
+            elif one["do"] in ("go on, done", "start, done", "in service") and touched.get(name):
                 last = touched[name].pop()
                 touched[name].append(Span(last.begin_ms, one["unix_ms"] + SLACK_MS))
     breaches, judged = [], 0
--- a/leadslip/drill/run.py
+++ b/leadslip/drill/run.py
@@ -10,6 +10,7 @@
 import contextlib
 import json
 import os
+import resource
 import secrets
 import signal
 import socket
@@ -20,8 +21,9 @@
 import msgspec
 
 from leadslip.drill.callers import VALID_MS, Caller
+from leadslip.drill.clocks import Clocks
 from leadslip.drill.relay import PORT, Relay, Ways
-from leadslip.drill.scenario import Act, Scenario, draw_schedule, names
+from leadslip.drill.scenario import Act, Scenario, draw_schedule, drifts, formers, names
 from leadslip.site import configuration
 
 SIP, OPS = 5060, 7000
@@ -61,6 +63,9 @@
         self.starts = 0
         self.running: list[asyncio.subprocess.Process] = []  # the older first
         self.ops: dict[int, int] = {}  # process id -> its operators' port
+        self.clocks: Clocks | None = None
+        self.hopping: asyncio.Task | None = None  # stops and goes on again and again
+        self.limits: dict[int, tuple[int, int]] = {}  # process id -> its limits on descriptors before
 
     async def start(self, beside: bool = False) -> None:
         """Start it; beside an older one, as an upgrade does."""
@@ -84,35 +89,74 @@
             "zone": f"zone{int(self.ip.rsplit('.', 1)[1]) % 3}",
             "history": str(drill.folder / f"{own}.jsonl"),
         }
-        if drill.broken:
-            fleet["broken"] = drill.broken
+        broken = drill.broken or ("former" if self.name in formers(drill.scenario) else "")
+        if broken:
+            fleet["broken"] = broken
         text = "".join(f"{key} = {json.dumps(value)}\n" for key, value in fleet.items())
         (folder / "fleet.toml").write_text(text)
         environ = {
             key: value for key, value in os.environ.items() if not key.startswith(("LEADSLIP", "NODE"))
         }
         environ |= {"NODE_CONFIG": str(folder / "config.json"), "LEADSLIP_FLEET": str(folder / "fleet.toml")}
+        program = ["leadslip"]
+        if drill.sets_clocks:
+            drift_ppm = drifts(drill.scenario, drill.seed)[self.name]
+            self.clocks = Clocks(str(folder / "clocks"), drift_ppm)
+            program = ["leadslip.drill.clocks", self.clocks.path]
         with open(folder / "log", "wb") as log:
             process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "leadslip", stdout=log, stderr=log, env=environ, cwd=folder
+                sys.executable, "-m", *program, stdout=log, stderr=log, env=environ, cwd=folder
             )
         self.running.append(process)
         self.ops[process.pid] = ops
         drill.note("started", [own], pid=process.pid)
 
-    async def view(self) -> dict | None:
-        """What its newest process tells of the fleet."""
+    async def called(self, method: bytes, path: bytes) -> bytes:
+        """The body that its newest process answers an operator; nothing where it does not."""
         if not self.running:
-            return None
+            return b""
         try:
             reader, writer = await asyncio.open_connection(self.ip, self.ops[self.running[-1].pid])
-            writer.write(b"GET /control/fleet HTTP/1.1\r\nHost: drill\r\n\r\n")
+            writer.write(method + b" /control/" + path + b" HTTP/1.1\r\nHost: drill\r\n\r\n")
             answer = await asyncio.wait_for(reader.read(), 5.0)
             writer.close()
-            return json.loads(answer.partition(b"\r\n\r\n")[2])
-        except (OSError, ValueError, TimeoutError):
+            return answer.partition(b"\r\n\r\n")[2]
+        except (OSError, TimeoutError):
+            return b""
+
+    async def view(self) -> dict | None:
+        """What its newest process tells of the fleet."""
+        try:
+            return json.loads(await self.called(b"GET", b"fleet"))
+        except ValueError:
             return None
 
+    async def hop(self, ms: float) -> None:
+        """Be busy: no work gets done for so long, then some, again and again."""
+        try:
+            while True:
+                self.signal(signal.SIGSTOP)
+                await asyncio.sleep(ms / 1000.0)
+                self.signal(signal.SIGCONT)
+                await asyncio.sleep(ms / 1000.0)
+        finally:
+            self.signal(signal.SIGCONT)
+
+    def no_descriptors(self) -> None:
+        """Let its newest process open nothing more."""
+        pid = self.running[-1].pid
+        most = max(int(number) for number in os.listdir(f"/proc/{pid}/fd")) + 1
+        before = resource.prlimit(pid, resource.RLIMIT_NOFILE)
+        self.limits[pid] = before
+        resource.prlimit(pid, resource.RLIMIT_NOFILE, (most, before[1]))
+
+    def descriptors(self) -> None:
+        """Let it open as before."""
+        for pid, before in self.limits.items():
+            if pid in [one.pid for one in self.running]:
+                resource.prlimit(pid, resource.RLIMIT_NOFILE, before)
+        self.limits.clear()
+
     def signal(self, what: signal.Signals, which: int = -1) -> None:
         with contextlib.suppress(ProcessLookupError, IndexError):
             self.running[which].send_signal(what)
@@ -148,6 +192,7 @@
     ) -> None:
         self.scenario, self.seed, self.folder, self.broken = scenario, seed, folder, broken
         self.acts = draw_schedule(scenario, seed) if acts is None else acts
+        self.sets_clocks = bool(scenario.drift_ppm) or any(act.do == "clock" for act in self.acts)
         self.processes: dict[str, Process] = {}
         self.faults: list[dict] = []
         self.ways = Ways(seed)
@@ -202,6 +247,7 @@
                 task.cancel()
             await asyncio.sleep(VALID_MS / 1000.0 + 0.2)  # what was called last is answered by then
         finally:
+            tasks += [one.hopping for one in self.processes.values() if one.hopping is not None]
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*(one.kill() for one in self.processes.values()))
@@ -237,20 +283,38 @@
             return
         self.note(act.do, act.who)
         for one in who:
-            if act.do == "kill":
-                await one.kill()
-            elif act.do == "stop":
-                one.signal(signal.SIGSTOP)
-            elif act.do == "go on":
-                one.signal(signal.SIGCONT)
-            elif act.do in ("start", "start beside"):
+            if act.do in ("start", "start beside"):
                 await one.start(beside=act.do == "start beside")
-            elif len(one.running) > (act.do == "end the older"):
-                task = asyncio.create_task(one.end(0))
-                self.ending.add(task)
+            elif act.do == "kill":
+                await one.kill()
+            elif act.do in ("end", "end the older"):
+                if len(one.running) > (act.do == "end the older"):
+                    self.ending.add(asyncio.create_task(one.end(0)))
+            elif one.running:
+                await self.touch(one, act)
         if act.do in ("go on", "start", "start beside"):
             self.note(f"{act.do}, done", act.who)
 
+    async def touch(self, one: Process, act: Act) -> None:
+        """Begin or end what troubles a process that runs on."""
+        ms = act.figures.get("ms", 0.0)
+        if act.do == "stop":
+            one.signal(signal.SIGSTOP)
+        elif act.do == "go on":
+            one.signal(signal.SIGCONT)
+        elif act.do == "busy":
+            one.hopping = asyncio.create_task(one.hop(ms))
+        elif act.do == "end busy" and one.hopping is not None:
+            one.hopping.cancel()
+        elif act.do in ("clock", "end clock") and one.clocks is not None:
+            one.clocks.jump(ms / 1000.0)
+        elif act.do == "descriptors":
+            one.no_descriptors()
+        elif act.do == "end descriptors":
+            one.descriptors()
+        elif act.do in ("out of service", "in service"):
+            await one.called(b"PUT", act.do.replace(" ", "-").encode())
+
     async def agreed(self, most_s: float) -> bool:
         """Whether all that run come to tell one digest, of just those that run."""
         until = time.monotonic() + most_s
--- a/leadslip/drill/scenario.py
+++ b/leadslip/drill/scenario.py
@@ -29,7 +29,9 @@
 
 PARTS = ("halves", "minority", "one", "three", "bridge", "ring")
 LINKS = ("loss", "late", "twice", "disorder", "spoil", "oneway", "hole", "mute")
-KINDS = ("partition", *LINKS, "kill", "stall", "leave", "upgrade")
+HOSTS = ("stall", "busy", "clock", "descriptors", "service")  # what begins at a process and ends there
+KINDS = ("partition", *LINKS, *HOSTS, "kill", "leave", "upgrade")
+MOST_DRIFT_PPM = 10_000.0
 HERE = Path(__file__).parent / "scenarios"
 
 
@@ -46,7 +48,9 @@
     parts: str = "halves"
     count: int = 1
     share: float = 0.0  # of datagrams, for loss, twice and spoil
-    ms: float = 0.0  # later by so much, or up to so much
+    ms: float = (
+        0.0  # later by so much, or up to so much; a hop of a busy process; a jump of a clock, either way
+    )
     back_s: float = -1.0  # a killed process starts anew after so long; below 0: never
     times: int = 1
     every_s: float = 2.0
@@ -61,6 +65,8 @@
     fault: list[Fault]
     calls_per_s: float = 20.0
     settle_s: float = 10.0
+    former: int = 0  # so many processes speak the wire version before this one
+    drift_ppm: float = 0.0  # monotonic clocks run so much too fast or too slow, at the most
     most_processes: int = 100
 
 
@@ -86,6 +92,10 @@
         raise ScenarioError(f"{path}: {fault}") from fault
     if not 2 <= told.processes <= told.most_processes:
         raise ScenarioError(f"{path}: processes must lie between 2 and {told.most_processes}")
+    if not 0 <= told.former <= told.processes:
+        raise ScenarioError(f"{path}: former must lie between 0 and {told.processes}")
+    if not 0 <= told.drift_ppm <= MOST_DRIFT_PPM:
+        raise ScenarioError(f"{path}: drift_ppm must lie between 0 and {MOST_DRIFT_PPM:.0f}")
     for i, one in enumerate(told.fault):
         if one.kind not in KINDS:
             raise ScenarioError(f"{path}: fault.{i}.kind is none of {', '.join(KINDS)}")
@@ -98,10 +108,26 @@
     return told
 
 
+ENDS_OF = {"stall": ("stop", "go on"), "service": ("out of service", "in service")}
+
+
 def names(processes: int) -> tuple[str, ...]:
     return tuple(f"n{i:02d}" for i in range(processes))
 
 
+def formers(scenario: Scenario, processes: int = 0) -> tuple[str, ...]:
+    """Those that speak the wire version before this one: the last ones, in proportion."""
+    all_ = names(processes or scenario.processes)
+    count = round(scenario.former * len(all_) / scenario.processes)
+    return all_[len(all_) - count :]
+
+
+def drifts(scenario: Scenario, seed: int, processes: int = 0) -> dict[str, float]:
+    """How much too fast each one's monotonic clock runs, in parts of a million."""
+    draw, most = Random(f"drift {seed}"), scenario.drift_ppm
+    return {name: draw.uniform(-most, most) for name in names(processes or scenario.processes)}
+
+
 def cut_ways(draw: Random, all_: tuple[str, ...], parts: str) -> tuple[tuple[str, str], ...]:
     """The ways that a partition cuts, in both directions."""
     mixed = list(all_)
@@ -153,8 +179,11 @@
         figures = {"share": fault.share, "ms": fault.ms}
         return [Act(at_s, kind, (), ways, figures), Act(end_s, f"end {kind}", (), ways)]
     hit = tuple(draw.sample(all_, fault.count))
-    if fault.kind == "stall":
-        return [Act(at_s, "stop", hit), Act(end_s, "go on", hit)]
+    if fault.kind in HOSTS:
+        begin, end = ENDS_OF.get(fault.kind, (fault.kind, f"end {fault.kind}"))
+        ms = fault.ms * draw.choice((-1.0, 1.0)) if fault.kind == "clock" else fault.ms
+        figures = {"ms": ms} if fault.ms else {}
+        return [Act(at_s, begin, hit, (), figures), Act(end_s, end, hit)]
     if fault.kind == "upgrade":
         return [Act(at_s, "start beside", hit), Act(at_s + max(fault.for_s, 1.0), "end the older", hit)]
     acts = [Act(at_s, "kill" if fault.kind == "kill" else "end", hit)]
@@ -184,7 +213,7 @@
 
 def _pairs(acts: list[Act]) -> list[list[Act]]:
     """Each trouble with its end."""
-    ends = {"stop": "go on", "kill": "start", "end": "start", "start beside": "end the older"}
+    ends = {"kill": "start", "end": "start", "start beside": "end the older"} | dict(ENDS_OF.values())
     groups: list[list[Act]] = []
     open_: list[tuple[str, Act, list[Act]]] = []
     for act in acts:
--- a/leadslip/fleet/view/members.py
+++ b/leadslip/fleet/view/members.py
@@ -3,7 +3,8 @@
 A process draws its `run` at random when it starts: 47 bits of its own and 16 that count its lives. Who learns that its
 run was declared dead goes on as the next life, which nobody has declared dead; a run that was declared dead is never
 alive again (V3). News of one process are ordered by life, then whether it is the end of that life, then incarnation,
-then suspicion; a merge takes the greater. It is commutative, associative and idempotent, so members that have heard
+then suspicion; a merge takes the greater. Facts have an edition of their own, as news of a life may overtake them,
+and a merge takes the later. It is commutative, associative and idempotent, so members that have heard
 the same news hold the same table, in whatever order and however often it came. No clock takes part in the order.
 """
 
@@ -67,6 +68,7 @@
     least: int = LEAST  # versions of the wire that it speaks
     most: int = VERSION
     facts: dict[str, str | int] = field(default_factory=dict)
+    edition: int = 0  # how often the facts have been changed
 
     @property
     def live(self) -> bool:
@@ -75,6 +77,12 @@
     def rank(self) -> tuple[int, int, int, int]:
         return rank(self.run, self.state, self.incarnation)
 
+    def knows(self, told: Full | None) -> bool:
+        """Whether this tells something that another's word of the same process lacks."""
+        if told is None:
+            return True
+        return self.rank() > rank(told.run, told.state, told.incarnation) or self.edition > told.edition
+
     def full(self, now_ms: float) -> Full:
         """As it goes on the wire."""
         age_ms = 0 if self.live else max(0, int(now_ms - self.since_ms))
@@ -89,6 +97,7 @@
             self.least,
             self.most,
             self.facts,
+            self.edition,
         )
 
     def short(self, by: int = 0) -> Short:
@@ -126,6 +135,7 @@
         and 0 < len(told.address) <= MOST_NAME
         and len(told.zone) <= MOST_NAME
         and 0 <= told.least <= told.most < 256
+        and 0 <= told.edition < 1 << 32
         and len(told.facts) <= MOST_FACTS
         and all(
             len(key) <= MOST_TEXT and (not isinstance(value, str) or len(value) <= MOST_TEXT)
@@ -181,7 +191,12 @@
         if told.state == State.SUSPECT:  # suspicion is each holder's own
             told = msgspec.structs.replace(told, state=int(State.ALIVE))
         held = self.get(told.run)
+        newer = held is not None and told.edition > held.edition
         if held is not None and rank(told.run, told.state, told.incarnation) <= held.rank():
+            if newer:
+                member = replace(held, facts=dict(told.facts), edition=told.edition)
+                self._put(held, member)
+                return member
             if held.run == told.run and not held.live and held.state == told.state:
                 # Two that heard of one end at different times agree on the earlier.
                 since_ms = min(held.since_ms, now_ms - told.age_ms)
@@ -196,6 +211,7 @@
         state = State(told.state)
         same = held is not None and held.run == told.run and held.state is state
         since_ms = held.since_ms if same else now_ms - told.age_ms
+        known = held is None or told.edition >= held.edition  # else facts that it has changed since
         member = Member(
             told.run,
             told.name,
@@ -206,7 +222,8 @@
             since_ms,
             told.least,
             told.most,
-            dict(told.facts),
+            dict(told.facts) if known else held.facts,
+            told.edition if known else held.edition,
         )
         self._put(held, member)
         return member
--- a/leadslip/fleet/view/suspicion.py
+++ b/leadslip/fleet/view/suspicion.py
@@ -12,7 +12,7 @@
 
 from leadslip.fleet.view.members import Member, State
 
-LEAST_MS = 1500.0  # shortest time to refute, however small the fleet: longer than stalls of a second
+LEAST_MS = 1800.0  # shortest time to refute, however small the fleet: longer than stalls of a second
 DECADE_MS = 700.0  # and so much for each power of ten of members, as news take longer to go round
 LONGEST = 2.0  # the longest time, in shortest ones
 WITNESSES = 3  # accusers besides the first that bring it down to the shortest
@@ -28,7 +28,17 @@
 class Suspicion:
     """One member under suspicion: since when (monotonic ms), and by whom."""
 
-    __slots__ = ("run", "incarnation", "since_ms", "accusers", "wanted", "least_ms", "late_ms", "asked")
+    __slots__ = (
+        "run",
+        "incarnation",
+        "since_ms",
+        "accusers",
+        "wanted",
+        "least_ms",
+        "late_ms",
+        "asked",
+        "pinged_ms",
+    )
 
     def __init__(self, run: int, incarnation: int, now_ms: float, members: int, by: int) -> None:
         self.run, self.incarnation, self.since_ms = run, incarnation, now_ms
@@ -37,7 +47,8 @@
         self.wanted = max(0, min(WITNESSES, members - 2))
         self.least_ms = least_ms(members)
         self.late_ms = 0.0  # time that does not count, as this process was stopped
-        self.asked = False  # it has been pinged for the last time
+        self.asked = 0  # last probes sent
+        self.pinged_ms = now_ms
 
     def about(self, member: Member | None) -> bool:
         """Whether it is this that a member is suspected of."""
--- a/leadslip/fleet/view/view.py
+++ b/leadslip/fleet/view/view.py
@@ -17,9 +17,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
+from typing import ClassVar
 
 from leadslip.checks import Tally
 from leadslip.fleet import wire
+from leadslip.fleet.view.allowance import Allowance
 from leadslip.fleet.view.members import (
     BUCKETS,
     LIVES,
@@ -30,23 +32,33 @@
     Table,
     draw_run,
     process_of,
-    rank,
 )
 from leadslip.fleet.view.rumours import SHORT_SIZE, Rumours
 from leadslip.fleet.view.suspicion import OTHERS_MS, Health, Suspicion
 
 ROOM = wire.MOST_DATAGRAM - wire.SEAL_SIZE - 130  # bytes of a datagram left for news
-AGAIN_MS = 500.0  # between two pings of one who is suspected
+AGAIN_MS = 250.0  # between two pings of one who is suspected
+AGAIN_RATE, AGAIN_RATE_MANY = (
+    0.012,
+    0.002,
+)  # pings a millisecond to all who are suspected; where they are many
+NEXT = 3  # suspects pinged at once when one was heard
+LAST_PROBES = 2  # before a verdict
 LAST = 3.2  # times the wait for an answer, for the last probe before a verdict and its relays
-JURY = 4  # members that one who suspects another asks to look for themselves
+JURY = 3  # members that one who suspects another asks to look for themselves
+FEW = 8  # members suspected at once, above which the network is held to be parted
 RELAYS = 3  # members asked to ping one that does not answer
 SPREAD = 3  # members that fresh news are sent to at once
 BULK = 8  # so many changes of one comparison are passed on as news; more are left to further comparisons
 FAR_OFF = 4  # views whose numbers of members differ by so many are compared at once
 VOUCHED_MS = 1500.0  # who has not been held alive by another for so long declares nobody dead ...
 ALONE_MS = 10_000.0  # ... unless for so long there is nobody left who could
-TELL_MS = 5000.0  # for so long after a refutation every message bears it
+TELL_MS = 2000.0  # for so long after a refutation every message bears it
 STALLED_MS = 400.0  # a wake that comes so much late tells that this process was stopped
+ASKS_RATE, ASKS = 0.003, 18.0  # relays asked a millisecond, and at once ...
+RESERVE = 6.0  # ... of which so many are kept for last probes
+PATIENT_MS = 2000.0  # a last probe waits for its relays so long at the most
+COMPARE_RATE, COMPARE = 0.3, 14_000.0  # bytes a millisecond of comparisons begun here, and at once
 ROUND_TIMES = 3  # probes in a row answered through others only, until the way there counts as cut
 
 
@@ -54,12 +66,12 @@
 class Pace:
     """How often things are done; milliseconds."""
 
-    period_ms: float = 200.0  # between two probes
+    period_ms: float = 90.0  # between two probes
     ack_ms: float = 120.0  # for an answer before others are asked to ping
-    gossip_ms: float = 100.0  # between two rounds of fresh news
+    gossip_ms: float = 150.0  # between two rounds of fresh news
     reach_ms: float = 1000.0  # between two tries at the dead and the seeds
     compare_ms: float = 20_000.0  # between two comparisons with anyone at all
-    compare_gap_ms: float = 300.0  # between any two comparisons begun here
+    compare_gap_ms: float = 600.0  # between any two comparisons begun here
     differ_ms: float = 1500.0  # for so long digests may differ while news go round
     forget_ms: float = 60_000.0  # between two rounds of forgetting
 
@@ -92,11 +104,13 @@
 class Probe:
     """One ping out, and what has come of it."""
 
-    __slots__ = ("run", "address", "sent_ms", "asked", "nacks")
+    __slots__ = ("run", "address", "sent_ms", "relays", "last", "asked", "nacks")
 
-    def __init__(self, run: int, address: str, sent_ms: float) -> None:
+    def __init__(self, run: int, address: str, sent_ms: float, relays: int = 0, last: bool = False) -> None:
         self.run, self.address, self.sent_ms = run, address, sent_ms  # run 0: whoever is there
-        self.asked: list[int] = []  # processes that ping it for us
+        self.last = last  # the one before a verdict
+        self.relays = relays  # members that may be asked to ping it for us ...
+        self.asked: list[int] = []  # ... and those that were
         self.nacks = 0
 
 
@@ -113,6 +127,8 @@
 class View:
     """One process's view of the fleet."""
 
+    speaks: ClassVar[int] = wire.VERSION
+
     def __init__(
         self, me: Me, seeds: tuple[str, ...], draw: Random, tally: Tally, pace: Pace, most_members: int
     ) -> None:
@@ -130,6 +146,7 @@
         self.run = draw_run(draw)
         self.me = me
         self.incarnation = 0
+        self.edition = 0  # of our facts
         self.leaving = False
         self.joined = False  # a comparison with another has been made
         self.refuted_ms = -float("inf")
@@ -149,8 +166,10 @@
         self.heap: list[tuple[float, int, Callable, int]] = []
         self.order = 0
         self.wake_ms = float("inf")
-        self.differs_ms = 0.0  # since when digests of others have not been ours; 0: the last one was
+        self.differs_ms = 0.0  # since when digests of others have not been ours
+        self.differing_ms = -float("inf")  # when the last one was not
         self.compared_ms = -float("inf")
+        self.asks, self.comparing = Allowance(ASKS_RATE, ASKS), Allowance(COMPARE_RATE, COMPARE)
         self.told: list[Change] = []
         self.telling = False
 
@@ -168,6 +187,11 @@
         """How long ago we were certainly held alive by another: the age of the last ping answered so."""
         return now_ms - self.vouched_ms
 
+    def version_for(self, run: int) -> int:
+        """The newest version of the wire that a member and we both speak; the oldest where it is not known."""
+        held = self.table.get(run) if run else None
+        return wire.LEAST if held is None else max(wire.LEAST, min(held.most, self.speaks))
+
     def cut_off(self, run: int) -> bool:
         """Whether a member answers through others only: the way there, or back, is cut."""
         return self.roundabout.get(process_of(run), 0) >= ROUND_TIMES
@@ -186,8 +210,11 @@
 
     def change_facts(self, now_ms: float, facts: dict[str, str | int]) -> None:
         """Spread other facts of ourselves."""
+        if facts == self.me.facts or self.leaving:
+            return
         self.me = Me(self.me.name, self.me.address, self.me.zone, facts)
-        self.incarnation += 1
+        self.edition += 1
+        self.incarnation += 1  # what members of wire version 1 go by
         self._tell_self(now_ms)
         self._wake()
 
@@ -238,10 +265,10 @@
             self.tally.add("fleet.replayed")
             return
         if process_of(message.run) in self.suspicions:
-            self.table.absolve(message.run, now_ms)
+            self._absolve(now_ms, message.run)
         if message.to and process_of(message.to) != process_of(self.run):
             if isinstance(message, wire.Ping):  # it pings one who was here before us
-                self._send(message.address, self._ack(now_ms, message.run, message.seq, news=False))
+                self._send(message.address, self._ack(now_ms, message.run, message.seq, same=True))
             else:
                 self.tally.add("fleet.for_another")
             return
@@ -264,10 +291,16 @@
         if ping.to:  # else it may have been recorded before we were: it is answered and no more
             self._news(now_ms, ping)
             self._differing(now_ms, ping)
-        self._send(ping.address, self._ack(now_ms, ping.run, ping.seq))
-
-    def _ack(self, now_ms: float, to: int, seq: int, news: bool = True) -> wire.Ack:
-        short, full = self._pick(now_ms, to) if news else ([], [])
+        same = ping.digest == self.table.live_digest
+        if same and ping.to:
+            self.rumours.known(len(self.table))
+        self._send(ping.address, self._ack(now_ms, ping.run, ping.seq, same))
+
+    def _ack(self, now_ms: float, to: int, seq: int, same: bool) -> wire.Ack:
+        """An answer; to one who holds the `same` as we do without what goes round."""
+        short, full = self._first(now_ms, to), []
+        if not same:
+            short, full = self._pick(now_ms, to, short)
         return wire.Ack(
             next(self.counts),
             self.run,
@@ -312,7 +345,7 @@
             self.roundabout.pop(key, None)
             self.via.pop(key, None)
         if ack.of:
-            self.table.absolve(ack.of, now_ms)
+            self._absolve(now_ms, ack.of)
             return
         self._judged(now_ms, ack, probe.sent_ms)
         self._differing(now_ms, ack)
@@ -333,12 +366,15 @@
             self._compare(now_ms, address)
 
     def _differing(self, now_ms: float, told: wire.Ping | wire.Ack) -> None:
-        """Another's digest against ours: news may be on their way, but if it lasts, tables are compared."""
+        """Another's digest against ours: news may be on their way, but if it lasts, tables are compared.
+
+        That others agree with us meanwhile says nothing: half of the fleet may hold another view.
+        """
         if told.digest == self.table.live_digest:
-            self.differs_ms = 0.0
             return
-        if not self.differs_ms:
+        if now_ms - self.differing_ms > 3 * self.pace.differ_ms:
             self.differs_ms = now_ms
+        self.differing_ms = now_ms
         far_off = abs(told.live - len(self.table)) >= FAR_OFF
         if far_off or now_ms - self.differs_ms > self.pace.differ_ms:
             member = self.table.get(told.run)
@@ -380,6 +416,8 @@
         key = process_of(held.run)
         if key not in probe.asked:
             probe.asked.append(key)
+            if key != self.via.get(process_of(probe.run)):
+                self.asks.spend(1)  # a way that works costs what a probe does, and no more in trouble
             ask = wire.AskPing(
                 next(self.counts), self.run, held.run, seq, self.me.address, probe.run, probe.address
             )
@@ -433,10 +471,32 @@
             self._pass_on(self.table.get(self.run), {by})
         return True
 
+    def _facts_of_self(self, now_ms: float, told: wire.Full) -> None:
+        """A member of wire version 1 holds us with other facts: it goes by incarnations alone."""
+        if (
+            not told.edition
+            and not self.leaving
+            and (told.run, told.incarnation) == (self.run, self.incarnation)
+            and told.facts != self.me.facts
+        ):
+            self.incarnation += 1
+            self._tell_self(now_ms)
+            self.rumours.add(self.table.get(self.run), whole=True)
+
     def _tell_self(self, now_ms: float) -> None:
         me = self.me
         full = wire.Full(
-            self.run, 0, self.incarnation, 0, me.name, me.address, me.zone, wire.LEAST, wire.VERSION, me.facts
+            self.run,
+            int(State.ALIVE),
+            self.incarnation,
+            0,
+            me.name,
+            me.address,
+            me.zone,
+            wire.LEAST,
+            self.speaks,
+            me.facts,
+            self.edition,
         )
         before = self.table.get(self.run)
         member = self.table.take(full, now_ms)
@@ -505,8 +565,10 @@
             self.tally.add("fleet.suspected")
             self._suspicion(now_ms, member, by)
             # Some others are asked to look for themselves; the whole fleet need not know before it is sure.
-            able = [one for one in self._live() if one.state is State.ALIVE]
-            self._pass_on(member, {one.run for one in self.draw.sample(able, min(JURY, len(able)))}, by)
+            # Where many are out of reach at once, they have no more to say and would be asked again and again.
+            if len(self.suspicions) <= FEW:
+                able = [one for one in self._live() if one.state is State.ALIVE]
+                self._pass_on(member, {one.run for one in self.draw.sample(able, min(JURY, len(able)))}, by)
 
     def _suspicion(self, now_ms: float, member: Member, by: int) -> None:
         key = process_of(member.run)
@@ -517,13 +579,33 @@
 
     def _again(self, now_ms: float, key: int) -> None:
         """Ping who is suspected again and again, so that it can refute as soon as there is a way."""
-        held, member = self.suspicions.get(key), self.table.held.get(key)
-        if held is not None and member is not None:
-            seq = self._next()
-            self.probes[seq] = Probe(held.run, member.address, now_ms)
-            self._ping(now_ms, seq, held.run, member.address)
-            self._at(now_ms + 4 * self.pace.ack_ms, self._forget_probe, seq)
-            self._at(now_ms + AGAIN_MS, self._again, key)
+        held = self.suspicions.get(key)
+        if held is not None:
+            self._ping_suspect(now_ms, key, held)
+            # Where half of the fleet is out of reach, pings of all who are suspected keep to the one rate.
+            rate = AGAIN_RATE if len(self.suspicions) <= FEW else AGAIN_RATE_MANY
+            self._at(now_ms + max(AGAIN_MS, len(self.suspicions) / rate), self._again, key)
+
+    def _ping_suspect(self, now_ms: float, key: int, held: Suspicion) -> None:
+        held.pinged_ms = now_ms
+        address = self.table.held[key].address
+        seq = self._next()
+        self.probes[seq] = Probe(held.run, address, now_ms)
+        self._ping(now_ms, seq, held.run, address)
+        self._at(now_ms + 4 * self.pace.ack_ms, self._forget_probe, seq)
+
+    def _absolve(self, now_ms: float, run: int) -> None:
+        """One is heard who was suspected: if many are, the network may be whole again, and the next ones are asked.
+
+        Guards against a network that flaps: suspicions of its last break must not run out in its next.
+        """
+        self.table.absolve(run, now_ms)
+        if self.suspicions:
+            due = [
+                (key, held) for key, held in self.suspicions.items() if now_ms - held.pinged_ms >= AGAIN_MS
+            ]
+            for key, held in due[:NEXT]:
+                self._ping_suspect(now_ms, key, held)
 
     def _confirm(self, now_ms: float, told: wire.Short) -> None:
         """Another accuses one that is under suspicion already."""
@@ -544,7 +626,7 @@
     def _witness(self, now_ms: float, member: Member, by: int) -> None:
         """Another accuses a member: look for ourselves, at once, and tell it what we find."""
         self._suspicion(now_ms, member, by)
-        self._probe_one(now_ms, member)
+        self._probe_one(now_ms, member, relays=1)  # it is asked for what it sees itself
 
     def _pass_on(self, member: Member, to: set[int], by: int = 0) -> None:
         """Tell some members, at once, how we hold one."""
@@ -562,13 +644,17 @@
             self._at(held.due_ms(), self._verdict, key)
             return
         late_ms = now_ms - held.due_ms()
-        if not held.asked:
+        if held.asked < LAST_PROBES:
+            if self.asks.now(now_ms) < RELAYS and late_ms < PATIENT_MS:
+                self._at(now_ms + 2 * self.pace.ack_ms, self._verdict, key)
+                return
             if self.run not in held.accusers and late_ms < OTHERS_MS:
                 self._at(now_ms + OTHERS_MS * (1.0 + self.draw.random()), self._verdict, key)
                 return
-            # Pinged for the last time, with the suspicion: whoever lives and can be reached refutes it now.
-            held.asked = True
-            self._probe_one(now_ms, self.table.held[key])
+            # Pinged for the last times, with the suspicion: whoever lives and can be reached refutes it now.
+            held.asked += 1
+            relays = RELAYS if len(self.suspicions) <= FEW else 1
+            self._probe_one(now_ms, self.table.held[key], relays, last=True)
             self._at(now_ms + self.health.scaled(LAST * self.pace.ack_ms), self._verdict, key)
             return
         if self.vouched(now_ms) > VOUCHED_MS and late_ms < ALONE_MS:
@@ -609,9 +695,9 @@
         if target is not None and not self.leaving:
             self._probe_one(now_ms, target)
 
-    def _probe_one(self, now_ms: float, target: Member) -> None:
+    def _probe_one(self, now_ms: float, target: Member, relays: int = RELAYS, last: bool = False) -> None:
         seq = self._next()
-        self.probes[seq] = Probe(target.run, target.address, now_ms)
+        self.probes[seq] = Probe(target.run, target.address, now_ms, relays, last)
         self._ping(now_ms, seq, target.run, target.address)
         self._at(now_ms + self.health.scaled(self.pace.ack_ms), self._ask, seq)
 
@@ -627,7 +713,7 @@
         return None
 
     def _ping(self, now_ms: float, seq: int, run: int, address: str) -> None:
-        news, full = self._pick(now_ms, run) if run else ([], [])
+        news, full = self._pick(now_ms, run, self._first(now_ms, run)) if run else ([], [])
         ping = wire.Ping(
             next(self.counts),
             self.run,
@@ -648,10 +734,14 @@
             return
         key = process_of(probe.run)
         able = [held for held in self._live() if process_of(held.run) != key and held.state is State.ALIVE]
-        chosen = self.draw.sample(able, min(RELAYS, len(able)))
+        left = self.asks.now(now_ms)
+        most = probe.relays
+        if not probe.last and (left < ASKS / 2 or len(self.suspicions) > FEW):
+            most = min(1, most) if left > RESERVE else 0
         last = self.table.held.get(self.via.get(key, 0))
-        if last is not None and last.live and last not in chosen:
-            chosen = [last, *chosen[: RELAYS - 1]]
+        # Where the way is cut for long, the one that worked: if it does not, others are asked the next time.
+        via = last is not None and last.live
+        chosen = [last] if via else self.draw.sample(able, min(most, len(able)))
         for held in chosen:
             self._ask_one(held, seq, probe)
         self._at(now_ms + self.health.scaled(2 * self.pace.ack_ms), self._fail, seq)
@@ -660,12 +750,16 @@
         probe = self.probes.pop(seq, None)
         if probe is None:
             return
+        if self.via.get(process_of(probe.run)) in probe.asked:
+            del self.via[process_of(probe.run)]
         # Relays that work say so; that none does points at ourselves.
-        self.health.worse(max(0, len(probe.asked) - probe.nacks) if probe.asked else 1)
+        if probe.relays:
+            self.health.worse(max(0, len(probe.asked) - probe.nacks) if probe.asked else 1)
         self._suspect(now_ms, probe.run)
 
     def _gossip(self, now_ms: float, _: int) -> None:
-        self._at(now_ms + self.pace.gossip_ms, self._gossip)
+        many = len(self.rumours) > FEW  # they go together then, in fewer datagrams
+        self._at(now_ms + self.pace.gossip_ms * (3 if many else 1), self._gossip)
         if self.rumours.fresh():
             self._spread(now_ms)
 
@@ -697,16 +791,21 @@
                 self._ping(now_ms, seq, 0, address)
                 self._at(now_ms + 4 * self.pace.reach_ms, self._forget_probe, seq)
 
-    def _pick(self, now_ms: float, to: int) -> tuple[list[wire.Short], list[wire.Full]]:
-        """News for a member: what it has to know of itself, our refutation while that is new, and what goes round."""
-        room = ROOM
+    def _first(self, now_ms: float, to: int) -> list[wire.Short]:
+        """What a member has to know of itself, and our refutation while that is new."""
         first = []
         about = self.table.get(to)
         if about is not None and about.state is not State.ALIVE:
             first.append(about.short())
         if now_ms - self.refuted_ms < TELL_MS:
             first.append(wire.Short(self.run, int(State.ALIVE), self.incarnation))
-        room -= SHORT_SIZE * len(first)
+        return first
+
+    def _pick(
+        self, now_ms: float, to: int, first: list[wire.Short]
+    ) -> tuple[list[wire.Short], list[wire.Full]]:
+        """News for a member: what is first, and what goes round."""
+        room = ROOM - SHORT_SIZE * len(first)
         news, full = self.rumours.pick(now_ms, len(self.table), room, self.table.get)
         return first + news, full
 
@@ -726,11 +825,17 @@
             self._compare(now_ms, self.draw.choice(others).address)
 
     def _compare(self, now_ms: float, address: str) -> None:
-        if now_ms - self.compared_ms >= self.pace.compare_gap_ms and not self.leaving:
+        if now_ms - self.compared_ms < self.pace.compare_gap_ms or self.leaving:
+            return
+        if self.comparing.now(now_ms) > 0.0 or not self.joined:
             self.compared_ms = now_ms
             self.tally.add("fleet.comparisons")
             self.out.append(Compare(address))
 
+    def spent(self, size: int) -> None:
+        """A comparison begun here has moved so many bytes."""
+        self.comparing.spend(size)
+
     def hello(self, token: int) -> wire.Hello:
         """What the taker of a connection says first."""
         return wire.Hello(next(self.counts), self.run, 0, token)
@@ -738,29 +843,30 @@
     def ask(self, now_ms: float, hello: wire.Hello, token: int) -> wire.SyncAsk:
         """The caller's part: our digests, and ourselves."""
         me = self.table.get(self.run).full(now_ms)
-        return wire.SyncAsk(
-            next(self.counts), self.run, hello.run, hello.token, token, list(self.table.buckets), me
-        )
+        buckets = self.table.buckets
+        if self.version_for(hello.run) >= 2:
+            buckets = [mark & wire.MARK for mark in buckets]
+        return wire.SyncAsk(next(self.counts), self.run, hello.run, hello.token, token, list(buckets), me)
 
     def answer(self, now_ms: float, ask: wire.SyncAsk) -> wire.SyncTable:
         """The taker's part: the members of the parts that differ."""
         if len(ask.buckets) != BUCKETS:
             raise wire.WireError("buckets")
         self._merge(now_ms, [ask.me])
-        differ = [i for i, mark in enumerate(ask.buckets) if mark != self.table.buckets[i]]
+        differ = [i for i, mark in enumerate(ask.buckets) if (mark ^ self.table.buckets[i]) & wire.MARK]
         members = [held.full(now_ms) for held in self.table.bucket(differ)]
         return wire.SyncTable(next(self.counts), self.run, ask.run, ask.mine, 0, members, differ)
 
     def compared(self, now_ms: float, told: wire.SyncTable, token: int) -> wire.SyncTable:
         """The caller takes the taker's members; given back is what the taker does not know, or not so well."""
-        theirs = {process_of(one.run): rank(one.run, one.state, one.incarnation) for one in told.members}
+        theirs = {process_of(one.run): one for one in told.members}
         self._merge(now_ms, told.members)
         self.joined = True
-        self.differs_ms = 0.0
+        self.differs_ms = now_ms
         better = [
             held.full(now_ms)
             for held in self.table.bucket(told.differ)
-            if held.rank() > theirs.get(process_of(held.run), ())
+            if held.knows(theirs.get(process_of(held.run)))
         ]
         self._wake()
         return wire.SyncTable(next(self.counts), self.run, told.run, token, 0, better)
@@ -775,12 +881,13 @@
         changed = []
         for told in members:
             if self._of_self(now_ms, told.run, told.state, told.incarnation):
+                self._facts_of_self(now_ms, told)
                 continue
-            known = self.table.get(told.run) is not None
+            before = self.table.get(told.run)
             member = self.table.take(told, now_ms)
             if member is None:
                 continue
-            changed.append((member, not known))
+            changed.append((member, before is None or before.edition != member.edition))
             if member.live and member.address == self.me.address:
                 self._gone(now_ms, member.run)  # the address is ours: it was there before us
         if self.joined and len(changed) <= BULK:
--- a/leadslip/fleet/wire.py
+++ b/leadslip/fleet/wire.py
@@ -9,6 +9,10 @@
 several keys it is (a byte of the key's own hash), so that a key is replaced while the fleet runs: all listed keys are
 taken, the first signs. Datagrams hold at most `MOST_DATAGRAM` bytes, frames over TCP `MOST_FRAME`.
 
+Versions: what follows the version byte is read by the rules of that version. Two members speak the newest that both
+know; who is not known yet is spoken to in the oldest. 2 added the edition of a member's facts to 1, and deflates
+frames and shortens the digests in them.
+
 Replay: a message names the run it is for and carries a count that its sender uses once. What was recorded before a
 receiver's start is for another run; what was heard before is known by its count (`Heard`).
 """
@@ -17,17 +21,19 @@
 
 import hmac
 import itertools
+import zlib
 from collections import OrderedDict
 from collections.abc import Sequence
 from hashlib import blake2b
 
 import msgspec
 
-VERSION = 1  # the newest that this program speaks; the oldest is LEAST
+VERSION = 2  # the newest that this program speaks; the oldest is LEAST
 LEAST = 1
 MAC_SIZE = 16
 SEAL_SIZE = 2 + MAC_SIZE
 MOST_DATAGRAM = 1200
+MARK = (1 << 32) - 1  # of a digest of part of the table, what goes on the wire from version 2 on
 MOST_FRAME = 1 << 22
 WINDOW = 1024  # counts behind a sender's newest that are still taken, once
 MOST_SENDERS = 8192  # senders whose counts are remembered
@@ -47,7 +53,10 @@
 
 
 class Full(msgspec.Struct, array_like=True, frozen=True):
-    """A member whole; `age_ms` tells how long it has been dead or left (0 while it is neither)."""
+    """A member whole; `age_ms` tells how long it has been dead or left (0 while it is neither).
+
+    `edition` counts how often the member has changed its facts; a member of wire version 1 tells none.
+    """
 
     run: int
     state: int
@@ -59,6 +68,7 @@
     least: int = LEAST
     most: int = VERSION
     facts: dict[str, str | int] = {}
+    edition: int = 0
 
 
 class Message(msgspec.Struct, array_like=True, frozen=True):
@@ -125,7 +135,7 @@
 
 
 class SyncAsk(Message, tag=7, frozen=True):
-    """Compare: the caller's digests by bucket, and itself."""
+    """Compare: the caller's digests by bucket (64 bits to a member of version 1, else 32), and itself."""
 
     token: int
     mine: int
@@ -162,12 +172,13 @@
 
 
 class Seal:
-    """Signs with the first key and takes any of them.
+    """Signs with the first key and takes any of them, in versions up to `speaks`.
 
     A key is at least 16 bytes; raises ValueError for a shorter one, for none, and for two that share their mark.
     """
 
-    def __init__(self, keys: Sequence[bytes]) -> None:
+    def __init__(self, keys: Sequence[bytes], speaks: int = VERSION) -> None:
+        self.speaks = speaks
         if not keys or any(len(key) < 16 for key in keys):
             raise ValueError("a key of the fleet holds at least 16 bytes")
         self.keys: dict[int, bytes] = {}
@@ -177,11 +188,11 @@
                 raise ValueError("two keys of the fleet share a mark: replace one of them")
             self.keys[mark] = key[:64]
         self.mark = next(iter(self.keys))
-        self.head = bytes((VERSION, self.mark))
+        self.heads = [bytes((version, self.mark)) for version in range(VERSION + 1)]
 
-    def close(self, body: bytes) -> bytes:
-        """A body, sealed."""
-        head = self.head
+    def close(self, body: bytes, version: int = LEAST) -> bytes:
+        """A body, sealed, for one who speaks this version."""
+        head = self.heads[version]
         return head + blake2b(head + body, digest_size=MAC_SIZE, key=self.keys[self.mark]).digest() + body
 
     def open(self, data: bytes) -> bytes:
@@ -191,7 +202,7 @@
         """
         if len(data) <= SEAL_SIZE:
             raise WireError("short")
-        if not LEAST <= data[0] <= VERSION:
+        if not LEAST <= data[0] <= self.speaks:
             raise WireError("version")
         key = self.keys.get(data[1])
         if key is None:
@@ -203,6 +214,26 @@
         return body
 
 
+def frame(message: Any, version: int) -> bytes:
+    """The body of a message over TCP: deflated from version 2 on, as members of one fleet are much alike."""
+    body = encode(message)
+    return zlib.compress(body, 1) if version >= 2 else body
+
+
+def unframe(body: bytes, version: int) -> Any:
+    """The message in the body of a frame of this version; raises WireError: unknown, long."""
+    if version < 2:
+        return decode(body)
+    inflate = zlib.decompressobj()
+    try:
+        plain = inflate.decompress(body, MOST_FRAME)
+    except zlib.error as fault:
+        raise WireError("unknown") from fault
+    if not inflate.eof or inflate.unused_data:
+        raise WireError("long")
+    return decode(plain)
+
+
 class Heard:
     """The counts heard of each sender: each is taken once, and none from far behind the newest.
 
--- a/leadslip/lab/fleet.py
+++ b/leadslip/lab/fleet.py
@@ -16,14 +16,26 @@
 from leadslip.lab.network import Clock, Network
 
 STEP_MS = 20.0  # between two looks for a condition
+EARLY_MS = 1e-6  # rounding between a host's clock and the lab's
+KEY = b"the key of the lab"
 
 
 class Host:
     """One member: its view, whether it runs, and what waited while it was stopped."""
 
-    def __init__(self, fleet: Fleet, name: str, address: str, seeds: tuple[str, ...]) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        name: str,
+        address: str,
+        seeds: tuple[str, ...],
+        kind: type[View],
+        drift_ppm: float,
+    ) -> None:
         self.fleet, self.name, self.address = fleet, name, address
-        self.view = View(
+        self.rate = 1.0 + drift_ppm / 1e6  # of its monotonic clock
+        self.seal = wire.Seal([KEY], kind.speaks)
+        self.view = kind(
             Me(name, address, f"zone{fleet.zone_of(name)}"),
             seeds,
             Random(fleet.draw.getrandbits(64)),
@@ -32,13 +44,15 @@
             fleet.most_members,
         )
         self.up, self.stalled = True, False
+        self.busy_ms = 0.0  # of each hop in which it gets no work done
+        self.full = False  # it can open nothing more
         self.inbox: list[bytes] = []
         self.wakes_ms = float("inf")
         self.view.listeners.append(self.changed)
 
     @property
     def now_ms(self) -> float:
-        return self.fleet.clock.now_ms
+        return self.fleet.clock.now_ms * self.rate
 
     def changed(self, change: Change) -> None:
         self.fleet.recorded(self, change)
@@ -50,7 +64,7 @@
             self.inbox.append(data)
             return
         try:
-            message = wire.decode(self.fleet.seal.open(data))
+            message = wire.decode(self.seal.open(data))
         except wire.WireError as fault:
             self.fleet.tally.add(f"fleet.refused.{fault}")
             return
@@ -58,10 +72,10 @@
         self.flush()
 
     def wake(self) -> None:
-        if not self.up or self.stalled or self.now_ms < self.wakes_ms:
+        if not self.up or self.stalled or self.now_ms < self.wakes_ms - EARLY_MS:
             return
         self.wakes_ms = float("inf")
-        self.view.due(self.now_ms)
+        self.view.due(max(self.now_ms, self.view.wake_ms))
         self.flush()
 
     def flush(self) -> None:
@@ -71,22 +85,27 @@
             if isinstance(one, Compare):
                 self.fleet.compare(self, one.address)
             else:
-                self.fleet.network.send(
-                    self.address, one.address, self.fleet.seal.close(wire.encode(one.message))
-                )
+                data = self.seal.close(wire.encode(one.message), self.view.version_for(one.message.to))
+                self.fleet.network.send(self.address, one.address, data)
         if self.view.wake_ms < self.wakes_ms:
             self.wakes_ms = self.view.wake_ms
-            self.fleet.clock.at(self.wakes_ms, self.wake)
+            self.fleet.clock.at(self.wakes_ms / self.rate, self.wake)
 
     def stall(self, for_ms: float) -> None:
         if self.up and not self.stalled:
             self.stalled = True
             if for_ms < float("inf"):
-                self.fleet.clock.at(self.now_ms + for_ms, self.resume)
+                self.fleet.clock.at(self.fleet.clock.now_ms + for_ms, self.resume)
+
+    def hop(self) -> None:
+        """Be busy: no work gets done for so long, then some, until `busy_ms` is nought."""
+        if self.up and self.busy_ms:
+            self.stall(self.busy_ms)
+            self.fleet.clock.at(self.fleet.clock.now_ms + 2 * self.busy_ms, self.hop)
 
     def resume(self) -> None:
         """As a process does: its timers first, then what waits in its sockets."""
-        if not self.up:
+        if not self.up or not self.stalled:
             return
         self.stalled = False
         self.wakes_ms = float("inf")  # what was due meanwhile has passed unseen
@@ -103,7 +122,6 @@
     def __init__(self, seed: int, pace: Pace = Pace(), zones: int = 4, most_members: int = 4096) -> None:  # noqa: B008
         self.draw, self.tally, self.pace, self.zones = Random(seed), Tally(), pace, zones
         self.most_members = most_members
-        self.seal = wire.Seal([b"the key of the lab"])
         self.clock = Clock()
         self.network = Network(self.clock, Random(self.draw.getrandbits(64)))
         self.hosts: dict[str, Host] = {}
@@ -118,16 +136,18 @@
         seeds: tuple[str, ...] | None = None,
         address: str = "",
         follow: Callable[[View], None] | None = None,
+        kind: type[View] = View,
+        drift_ppm: float = 0.0,
     ) -> Host:
         """Start a member, also one that was there before and remembers nothing; `follow` is told of its view first."""
         address = address or f"{name}:7946"
         if seeds is None:
             seeds = tuple(f"{one}:7946" for one in list(self.hosts)[:3])
-        host = self.hosts[name] = Host(self, name, address, seeds)
+        host = self.hosts[name] = Host(self, name, address, seeds, kind, drift_ppm)
         self.network.hosts[address] = host.arrive
         if follow is not None:
             follow(host.view)
-        host.view.start(self.clock.now_ms)
+        host.view.start(host.now_ms)
         host.flush()
         return host
 
@@ -147,7 +167,7 @@
     def leave(self, name: str) -> Host:
         """A member leaves in good order and is gone a moment later."""
         host = self.hosts[name]
-        host.view.leave(self.clock.now_ms)
+        host.view.leave(host.now_ms)
         host.flush()
         self.run(300.0)
         return self.kill(name)
@@ -157,16 +177,18 @@
 
         def work() -> int:
             other = next((one for one in self.hosts.values() if one.address == address), None)
-            if other is None or not other.up or other.stalled or not host.up or host.stalled:
+            if other is None or any(not one.up or one.stalled or one.full for one in (host, other)):
                 return 0
-            now_ms = self.clock.now_ms
-            ask = host.view.ask(now_ms, other.view.hello(1), 2)
-            told = other.view.answer(now_ms, ask)
-            better = host.view.compared(now_ms, told, 1)
-            other.view.given(now_ms, better)
+            ask = host.view.ask(host.now_ms, other.view.hello(1), 2)
+            told = other.view.answer(other.now_ms, ask)
+            better = host.view.compared(host.now_ms, told, 1)
+            other.view.given(other.now_ms, better)
+            version = host.view.version_for(other.view.run)
+            size = sum(len(wire.frame(one, version)) + wire.SEAL_SIZE + 4 for one in (ask, told, better))
+            host.view.spent(size)
             host.flush()
             other.flush()
-            return sum(len(wire.encode(one)) + wire.SEAL_SIZE + 4 for one in (ask, told, better))
+            return size
 
         self.network.connect(host.address, address, work)
 
--- a/leadslip/lab/play.py
+++ b/leadslip/lab/play.py
@@ -7,12 +7,15 @@
 import json
 
 from leadslip.drill import check
-from leadslip.drill.scenario import Act, Scenario, draw_schedule, names
+from leadslip.drill.broken import Former
+from leadslip.drill.scenario import Act, Scenario, draw_schedule, drifts, formers, names
 from leadslip.fleet.history import follow
 from leadslip.fleet.view.members import process_of
+from leadslip.fleet.view.view import View
 from leadslip.lab.fleet import Fleet, Host
 
 PORT = 7946
+SAMPLE_MS = 500.0
 
 
 class Play:
@@ -22,9 +25,11 @@
         self.scenario, self.members, self.seed = scenario, members, seed
         self.names = names(members)
         self.acts = acts if acts is not None else draw_schedule(scenario, seed, members)
+        self.formers, self.drifts = formers(scenario, members), drifts(scenario, seed, members)
         self.fleet = Fleet(seed)
         self.histories: dict[str, list[dict]] = {}
         self.faults: list[dict] = []
+        self.traffic: list[tuple[float, float]] = []  # ms, bytes a member and second from then on
         self.starts: dict[str, int] = {}
         self.older: dict[str, Host] = {}
 
@@ -48,7 +53,15 @@
         self.note("started", (f"{name}-{own}",))
         seeds = tuple(f"{one}:{PORT}" for one in self.names[:3])
         address = f"{name}:{PORT}" if not beside else f"{name}:{PORT + own}"
-        fleet.add(name, seeds, address, lambda view: follow(view, keep))
+        kind = Former if name in self.formers else View
+        fleet.add(name, seeds, address, lambda view: follow(view, keep), kind, self.drifts[name])
+
+    def sample(self, before: float) -> None:
+        """Note the traffic, again and again."""
+        clock = self.fleet.clock
+        now = sum(self.fleet.traffic()[1:])
+        self.traffic.append((clock.now_ms - SAMPLE_MS, max(0.0, now - before) * 1000.0 / SAMPLE_MS))
+        clock.at(clock.now_ms + SAMPLE_MS, self.sample, now)
 
     def run(self) -> dict:
         """Play it; what the checker found, figures, traffic, and a digest of the whole run."""
@@ -59,6 +72,7 @@
         joined_ms = fleet.until(fleet.agreed, 60_000.0)
         self.note("agreed")
         began_ms, before = fleet.clock.now_ms, fleet.traffic()
+        fleet.clock.at(began_ms + SAMPLE_MS, self.sample, sum(before[1:]))
         for act in self.acts:
             fleet.run(max(0.0, began_ms + act.at_s * 1000.0 - fleet.clock.now_ms))
             self.do(act)
@@ -104,6 +118,14 @@
                 host.stall(float("inf"))
             elif act.do == "go on" and host is not None:
                 host.resume()
+            elif act.do in ("busy", "end busy") and host is not None:
+                host.busy_ms = act.figures.get("ms", 0.0)
+                host.hop()
+            elif act.do in ("descriptors", "end descriptors") and host is not None:
+                host.full = act.do == "descriptors"
+            elif act.do in ("out of service", "in service") and host is not None:
+                host.view.change_facts(host.now_ms, {"service": act.do.split()[0]})
+                host.flush()
             elif act.do == "end" and host is not None:
                 fleet.leave(name)
             elif act.do == "end the older" and name in self.older:
--- a/leadslip/net/peers.py
+++ b/leadslip/net/peers.py
@@ -63,6 +63,7 @@
 
     def __init__(self, peers: Peers) -> None:
         self.peers = peers
+        self.moved = 0  # bytes, both ways
         self.token = random.SystemRandom().getrandbits(63)
         self.overdue = None
 
@@ -87,11 +88,17 @@
         self.transport.abortConnection()
 
     def say(self, message: wire.Any) -> None:
-        self.sendString(self.peers.seal.close(wire.encode(message)))
+        peers = self.peers
+        version = peers.view.version_for(message.to)
+        data = peers.seal.close(wire.frame(message, version), version)
+        self.moved += len(data)
+        self.sendString(data)
 
     def stringReceived(self, string: bytes) -> None:
         try:
-            self.told(wire.decode(self.peers.seal.open(string)), self.peers.clock.now_ms())
+            self.moved += len(string)
+            message = wire.unframe(self.peers.seal.open(string), string[0])
+            self.told(message, self.peers.clock.now_ms())
         except wire.WireError as fault:
             self.peers.tally.add(f"fleet.refused.{fault}")
             self.transport.abortConnection()
@@ -133,6 +140,7 @@
             self.say(self.peers.view.ask(now_ms, message, self.token))
         elif isinstance(message, wire.SyncTable) and message.token == self.token:
             self.say(self.peers.view.compared(now_ms, message, self.asked))
+            self.peers.view.spent(self.moved)
         else:
             raise wire.WireError("misplaced")
 
@@ -179,7 +187,7 @@
         # set before would go by the other clock: this is made before there are any.
         reactor.seconds = lambda: time.clock_gettime(CLOCK)
         self.deadlines = Deadlines(self.clock, reactor)
-        self.seal = wire.Seal(conf.keys)
+        self.seal = wire.Seal(conf.keys)  # refuses bad ones before anything is bound
         self.draw = random.SystemRandom()
         self.taken: set[PeerLink] = set()
         self.making = 0
@@ -211,6 +219,7 @@
         # The view draws from a generator of its own; only its seed comes from the system.
         draw = random.Random(self.draw.getrandbits(64))
         self.view = kind(me, seeds, draw, self.tally, Pace(), self.conf.most_members)
+        self.seal = wire.Seal(self.conf.keys, self.view.speaks)
         if self.conf.history:
             from leadslip.fleet import history
 
@@ -270,7 +279,7 @@
             self.flush()
 
     def _send(self, address: str, message: wire.Any) -> None:
-        data = self.seal.close(wire.encode(message))
+        data = self.seal.close(wire.encode(message), self.view.version_for(message.to))
         if not self.tally.must(len(data) <= wire.MOST_DATAGRAM, "a datagram of the fleet keeps its size"):
             return
         host, _, port = address.rpartition(":")
@@ -300,9 +309,15 @@
         else:
             self.making -= 1
 
+    def tell(self, facts: dict[str, str | int]) -> None:
+        """Spread other facts of this member."""
+        if self.view is not None and not self.stopped:
+            self.view.change_facts(self.clock.now_ms(), facts)
+            self.flush()
+
     def rekey(self, keys: tuple[bytes, ...]) -> None:
         """Sign with the first of these keys from now on, and take them all."""
-        self.seal = wire.Seal(keys)
+        self.seal = wire.Seal(keys, self.seal.speaks)
 
     def stop(self) -> None:
         """Leave in good order."""
--- a/leadslip/parts/__init__.py
+++ b/leadslip/parts/__init__.py
@@ -86,6 +86,9 @@
     def start(self) -> None:
         """The proxy takes clients from here on."""
 
+    def service(self, told: str) -> None:
+        """The proxy is `in` service from here on, or `out` of it as operators want, or `ending`."""
+
     def retuned(self, conf: object) -> None:
         """A reload has been taken."""
         self.conf = conf
--- a/leadslip/parts/fleet.py
+++ b/leadslip/parts/fleet.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
+from leadslip import __version__
 from leadslip.config import Address, MalformedError, address_of, figures_of, member, turned_on
 from leadslip.core import Watcher
 from leadslip.parts import Answer, Around, Calls, Part
@@ -92,8 +93,16 @@
         node = self.node
         self.peers = Peers(node.reactor, self.conf, node.conf.name or "proxy", node.tally, node.log)
 
+    def facts(self) -> dict[str, str | int]:
+        """What this member spreads of itself."""
+        node = self.node
+        return {"capacity": node.conf.most_held, "service": node.readiness.service(), "version": __version__}
+
     def start(self) -> None:
-        self.peers.start({})
+        self.peers.start(self.facts())
+
+    def service(self, told: str) -> None:
+        self.peers.tell(self.facts())
 
     def retuned(self, conf: FleetConfig) -> None:
         """Keys may be replaced while the fleet runs."""
--- a/leadslip/readiness.py
+++ b/leadslip/readiness.py
@@ -25,6 +25,10 @@
         """Yes as soon as it takes clients, and while it is in service and not ending."""
         return self.listening and not self.out_ms and not self.ending_ms
 
+    def service(self) -> str:
+        """`in` service, `out` of it as operators want, or `ending`."""
+        return "ending" if self.ending_ms else "out" if self.out_ms else "in"
+
     def draining(self) -> bool:
         """Whether clients are to be sent away: connections are closed once they owe nothing."""
         return bool(self.out_ms or self.ending_ms)
--- a/tests/test_fleet_lab.py
+++ b/tests/test_fleet_lab.py
@@ -7,11 +7,13 @@
 
 import pytest
 
+from leadslip.cli import main
 from leadslip.drill import scenario
 from leadslip.lab.play import Play
 from tests.standins import ROOT
 
 LIGHT = ["halves", "bridge", "crashes", "stalls", "upgrade", "leaves", "late", "spoilt", "mixed"]
+LIGHT += ["busy", "clocks", "descriptors", "versions"]
 
 
 @pytest.mark.parametrize("name", LIGHT)
@@ -21,6 +23,16 @@
     assert told["figures"]["settled_ms"] < 6000.0 and told["joined_ms"] < 4000.0
 
 
+def test_a_run_is_drawn(tmp_path):
+    pytest.importorskip("matplotlib", reason="an extra: pip install .[plots]")
+    plot = tmp_path / "run.svg"
+    with pytest.raises(SystemExit) as code:
+        main(["lab", "fleet", "mixed", "--members", "8", "--plot", str(plot)])
+    assert code.value.code == 0
+    drawn = plot.read_text()
+    assert all(text in drawn for text in ("All at once", "different views", "bytes a member", "stop"))
+
+
 def test_a_course_is_the_seeds_whatever_the_hash_seed():
     digests = set()
     for hash_seed in ("1", "2"):
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -6,8 +6,10 @@
 
 import json
 import os
+import signal
 import subprocess
 import sys
+import time
 
 import pytest
 
@@ -78,12 +80,64 @@
     assert "left" in states and "dead" not in states
 
 
+def test_two_versions_out_of_service_under_skewed_clocks(tmp_path):
+    told = Scenario(
+        "short",
+        "versions and clocks",
+        4,
+        [
+            Fault("service", 0.2, 1.0, count=4),
+            Fault("clock", 0.3, 1.5, count=2, ms=3.6e6),
+            Fault("busy", 0.4, 1.0, ms=200.0),
+            Fault("descriptors", 0.5, 1.0),
+            Fault("kill", 0.6, back_s=0.2),
+        ],
+        8.0,
+        PATIENT_S,
+        former=2,
+        drift_ppm=500.0,
+    )
+    found = held(told, 3, tmp_path / "drill")
+    assert found["held"], found["breaches"]
+    logs = [path.read_text() for path in (tmp_path / "drill").glob("*/log")]
+    assert len(logs) == 5 and not any("refused.version" in log for log in logs)
+    _, faults = check.records(tmp_path / "drill")
+    done = {one["do"] for one in faults}
+    assert {"clock", "end clock", "busy", "descriptors", "end descriptors", "in service"} <= done
+
+
+def test_an_interrupted_drill_leaves_no_process_and_no_file(tmp_path):
+    drill = subprocess.Popen(
+        [sys.executable, "-m", "leadslip.cli", "drill", "run", "halves"],
+        cwd=ROOT,
+        env=os.environ | {"TMPDIR": str(tmp_path)},
+    )
+    pids = []
+    while len(pids) < 4 and drill.poll() is None:
+        pids = [int(pid) for pid in os.listdir("/proc") if pid.isdigit() and mine(pid, tmp_path)]
+        time.sleep(0.05)
+    drill.terminate()
+    assert drill.wait(PATIENT_S) == 128 + signal.SIGTERM
+    assert len(pids) >= 4 and not any(os.path.exists(f"/proc/{pid}") for pid in pids)
+    assert os.listdir(tmp_path) == []
+
+
+def mine(pid, place):
+    """Whether a process works for a drill that keeps its files there."""
+    try:
+        with open(f"/proc/{pid}/environ", "rb") as file:
+            return f"NODE_CONFIG={place}/drill-".encode() in file.read()
+    except OSError:
+        return False
+
+
 @pytest.mark.parametrize(
     ("broken", "invariant", "fault"),
     [
         ("apart", "V2", Fault("partition", 0.2, 6.0, parts="halves")),
         ("forgiving", "V3", Fault("stall", 0.2, 8.0)),
         ("deaf", "V1", Fault("stall", 0.2, 8.0)),
+        ("waiting", "C1", Fault("kill", 0.2)),
     ],
 )
 def test_the_checker_sees_a_program_that_is_broken_on_purpose(tmp_path, broken, invariant, fault):
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -8,16 +8,27 @@
 from hypothesis import strategies as some
 
 from leadslip.checks import Tally
+from leadslip.drill.broken import Former
 from leadslip.fleet import wire
 from leadslip.fleet.view import members as rules
+from leadslip.fleet.view.allowance import Allowance
 from leadslip.fleet.view.members import LIVES, State, Table, draw_run, process_of, ranked
 from leadslip.fleet.view.suspicion import LONGEST, Suspicion, least_ms
+from leadslip.fleet.view.view import Datagram, View
 from leadslip.lab.fleet import Fleet
 
 fixed = settings(derandomize=True, max_examples=200, deadline=None)
 RUNS = [draw_run(random.Random(i)) for i in range(3)]
+
+
+def told_of(edition, **told):
+    """A member whose facts tell their edition, as facts of one edition are always the same."""
+    return wire.Full(**told, edition=edition, facts={"edition": edition})
+
+
 news = some.builds(
-    wire.Full,
+    told_of,
+    some.integers(0, 2),
     run=some.builds(lambda run, life: run + life, some.sampled_from(RUNS), some.integers(0, 2)),
     state=some.integers(0, 3),
     incarnation=some.integers(0, 2),
@@ -42,6 +53,7 @@
     one, other = table_of(told), table_of(again)
     assert {held.rank() for held in one} == {held.rank() for held in other}
     assert one.live_digest == other.live_digest and one.buckets == other.buckets
+    assert all(held.facts == {"edition": held.edition} for held in one)
 
 
 @fixed
@@ -249,6 +261,48 @@
     assert fleet.until(known, 5000.0) < 1500.0
 
 
+def test_facts_that_a_refutation_overtook_arrive_all_the_same(fleet):
+    """Who hears the later incarnation first holds it with the older facts, and has to find that out."""
+    names = sorted(fleet.hosts)
+    teller, hearer = (fleet.hosts[name] for name in names[3:5])
+    fleet.partition([teller.name], [name for name in names if name != teller.name])
+    teller.view.change_facts(fleet.clock.now_ms, {"service": "out"})
+    teller.view.rumours.drop(teller.view.run)
+    later = wire.Short(teller.view.run, int(State.ALIVE), teller.view.incarnation)
+    hearer.view.table.hear(later, fleet.clock.now_ms)
+    fleet.heal()
+    assert fleet.until(fleet.agreed, 10_000.0) < 10_000.0
+    held = [host.view.table.get(teller.view.run) for host in fleet.hosts.values()]
+    assert all(one.facts == {"service": "out"} and one.edition == 1 for one in held)
+
+
+def test_two_versions_speak_the_older_with_one_another_and_settle():
+    fleet = Fleet(4)
+    for i in range(8):
+        fleet.add(f"p{i}", kind=Former if i % 2 else View, drift_ppm=500.0 if i % 3 else -500.0)
+        fleet.run(10.0)
+    assert fleet.until(fleet.agreed, 10_000.0) < 10_000.0
+    new, former = fleet.hosts["p0"].view, fleet.hosts["p1"].view
+    assert new.version_for(fleet.hosts["p2"].view.run) == 2 and new.version_for(0) == wire.LEAST
+    assert new.version_for(former.run) == former.version_for(new.run) == 1
+    # The former ones hear of a later incarnation before they hear of the facts, and can't tell that these changed.
+    new.change_facts(fleet.clock.now_ms, {"service": "out"})
+    new.rumours.drop(new.run)
+    later = wire.Short(new.run, int(State.ALIVE), new.incarnation)
+    for host in fleet.hosts.values():
+        if host.view is not new:
+            host.view.table.hear(later, fleet.clock.now_ms)
+    assert fleet.until(fleet.agreed, 20_000.0) < 20_000.0
+    assert all(host.view.table.get(new.run).facts == {"service": "out"} for host in fleet.hosts.values())
+    assert not fleet.tally.counts["fleet.refused.version"] and not fleet.ends
+
+
+def test_an_allowance_comes_back_in_time_and_no_further():
+    one = Allowance(0.5, 10.0)
+    one.spend(14.0)
+    assert one.now(0.0) == -4.0 and one.now(8.0) == 0.0 and one.now(20.0) == 6.0 and one.now(1000.0) == 10.0
+
+
 def test_changes_are_told_once_and_in_one_order():
     fleet = Fleet(17)
     fleet.grow(3)
@@ -272,7 +326,7 @@
     other = fleet.hosts["p0002"].view
     ping = wire.Ping(next(other.counts), other.run, view.run, 1, other.me.address, 16, 0)
     view.received(fleet.clock.now_ms, ping)
-    assert len(view.out) == 1
+    assert sum(isinstance(one, Datagram) for one in view.out) == 1
     view.out.clear()
     view.received(fleet.clock.now_ms, ping)
     assert view.out == [] and fleet.tally.counts["fleet.replayed"] == 1
--- a/tests/test_fleet_wire.py
+++ b/tests/test_fleet_wire.py
@@ -1,6 +1,7 @@
 """The fleet's wire: what is signed and what is not, several keys, replay, random cuts and garbage."""
 
 import random
+import zlib
 
 import pytest
 from hypothesis import given, settings
@@ -34,6 +35,36 @@
         assert wire.decode(seal.open(seal.close(wire.encode(message)))) == message
 
 
+def test_frames_are_deflated_for_those_who_know_it_and_bounded():
+    members = [
+        wire.Full(i, 0, 0, 0, f"n{i}", f"127.0.0.{i}:7946", facts={"version": "0.1"}) for i in range(99)
+    ]
+    table = wire.SyncTable(1, 2, 3, 4, 5, members)
+    plain, small = wire.frame(table, 1), wire.frame(table, 2)
+    assert len(small) < len(plain) / 2
+    assert wire.unframe(plain, 1) == wire.unframe(small, 2) == table
+    bomb = zlib.compress(bytes(wire.MOST_FRAME + 1))
+    for bad, why in ((bomb, "long"), (small + b"x", "long"), (small[:-1], "long"), (plain, "unknown")):
+        with pytest.raises(wire.WireError, match=why):
+            wire.unframe(bad, 2)
+
+
+@fixed
+@given(some.binary(max_size=200), some.integers(0, 200))
+def test_garbage_in_a_frame_is_no_message(data, cut):
+    for body in (data, wire.frame(PING, 2)[:cut] + data):
+        try:
+            assert wire.unframe(body, 2) == PING
+        except wire.WireError as fault:
+            assert str(fault) in ("unknown", "long")
+
+
+def test_a_newer_version_is_refused_by_who_speaks_the_older():
+    new, former = wire.Seal([OLD]), wire.Seal([OLD], speaks=1)
+    assert former.open(new.close(b"x")) == b"x" == new.open(former.close(b"x"))
+    assert refused(former, new.close(b"x", 2)) == "version"
+
+
 def test_a_key_is_replaced_while_the_fleet_runs():
     before, between, after = wire.Seal([OLD]), wire.Seal([NEW, OLD]), wire.Seal([NEW])
     assert between.open(before.close(b"x")) == b"x", "who has both takes the old"
