--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -3,6 +3,7 @@
 python -m benchmarks.fleet times --members 200 --rounds 50     # crash, join, leave: p50 and p99
 python -m benchmarks.fleet heal --members 200                  # one view again after partitions
 python -m benchmarks.fleet quiet --members 200 --minutes 60    # loss and stalls: wrong removals
+python -m benchmarks.fleet baseline                            # the same by all-to-all heartbeats: fixed time, phi
 python -m benchmarks.fleet traffic                             # 50 to 1,000 members, in calm
 python -m benchmarks.fleet trouble --members 200               # herd, rolling restart, flapping: traffic over calm
 python -m benchmarks.fleet cost --members 200                  # us a datagram, memory a member
@@ -37,6 +38,7 @@
 from leadslip.lab.network import Clock, Network
 from leadslip.site import configuration
 
+PHI_8 = -statistics.NormalDist().inv_cdf(1e-8)  # deviations at which phi is 8
 WINDOW_S = 10  # traffic in trouble is told of the worst so many seconds, besides the whole
 PARTS = ("all", "no health", "no confirmation", "no telling", "none")
 
@@ -226,6 +228,62 @@
     return {"datagrams_s": sent, "bytes_s": sent * len(beat), "crash_known_ms": known_ms, "wrong": wrong}
 
 
+@main.command()
+@click.option("--members", type=int, default=40, show_default=True)
+@seed_
+@click.option("--minutes", type=float, default=10.0, show_default=True)
+@click.option("--lost", type=float, default=0.10, show_default=True)
+def baseline(members: int, seed: int, minutes: float, lost: float) -> None:
+    """Heartbeats of a second among all, the same faults: wrong verdicts by a fixed time of 3 s and by phi-accrual."""
+    draw = random.Random(seed)
+    names = range(members)
+    seconds = int(minutes * 60)
+    stops: list[set[int]] = []
+    for _ in range(seconds + 1):
+        free = [name for name in names if not stops or name not in stops[-1]]
+        stops.append(set(draw.sample(free, members // 10 or 1)))
+    phase = [draw.random() for _ in names]
+
+    def awake(name: int, at_s: float) -> float:
+        """When a member gets to what falls due then."""
+        second = int(at_s)
+        return float(second + 1) if second <= seconds and name in stops[second] else at_s
+
+    fixed = accrued = beats = 0
+    known: dict[str, list[float]] = {"fixed": [], "phi": []}
+    for source in names:
+        for target in names:
+            if source == target:
+                continue
+            last, gaps = 0.0, [1.0] * 10
+            for second in range(seconds):
+                sent = awake(source, second + phase[source])
+                if draw.random() < lost:
+                    continue
+                beats += 1
+                at = awake(target, sent + draw.uniform(0.0003, 0.003))
+                gap = max(0.0, at - last)
+                fixed += gap > 3.0
+                accrued += gap > dead_after(gaps)
+                gaps, last = [*gaps[-99:], gap], at
+            known["fixed"].append(3.0)
+            known["phi"].append(dead_after(gaps))
+    hours = members * (members - 1) * minutes / 60.0
+    tell(
+        members=members,
+        minutes=minutes,
+        beats=beats,
+        wrong_an_hour_of_one_pair={"fixed": fixed / hours, "phi": accrued / hours},
+        silence_until_dead_s={way: points(told) for way, told in known.items()},
+    )
+
+
+def dead_after(gaps: list[float], least_std: float = 0.1) -> float:
+    """The silence after which phi (Hayashibara, 2004) passes 8, for normal gaps; seconds."""
+    mean = statistics.fmean(gaps)
+    return mean + max(least_std, statistics.pstdev(gaps, mean)) * PHI_8
+
+
 @main.command()
 @members_
 @seed_
--- a/leadslip/cli/drill.py
+++ b/leadslip/cli/drill.py
@@ -76,6 +76,7 @@
 @click.argument("scenario", type=click.Path())
 @click.option("--seed", type=int, default=1, show_default=True, help="Draws who is hit, and when.")
 @click.option("--seeds", type=int, default=1, show_default=True, help="So many seeds, from --seed on.")
+@click.option("--processes", type=click.IntRange(2, 100), help="So many, and of faults in proportion.")
 @click.option("--keep", type=click.Path(file_okay=False), help="Keep histories, logs and schedules here.")
 @click.option("--broken", default="", help="A fault put into the program, to see the checker find it.")
 @click.option(
@@ -84,12 +85,21 @@
 @as_json
 @sound
 def run_(
-    scenario: str, seed: int, seeds: int, keep: str | None, broken: str, plot: str | None, json_: bool
+    scenario: str,
+    seed: int,
+    seeds: int,
+    processes: int | None,
+    keep: str | None,
+    broken: str,
+    plot: str | None,
+    json_: bool,
 ) -> None:
     """Hold SCENARIO (a file, or a name from `list`); 0 when all invariants held, 1 when one is broken, 2 else."""
     from leadslip.drill.run import DrillError
 
     told_of = scenarios.load(scenario)
+    if processes is not None:
+        told_of = scenarios.scaled(told_of, processes)
     wrong = 0
     for one in range(seed, seed + seeds):
         folder = (
--- a/leadslip/drill/scenario.py
+++ b/leadslip/drill/scenario.py
@@ -115,17 +115,24 @@
     return tuple(f"n{i:02d}" for i in range(processes))
 
 
-def formers(scenario: Scenario, processes: int = 0) -> tuple[str, ...]:
-    """Those that speak the wire version before this one: the last ones, in proportion."""
-    all_ = names(processes or scenario.processes)
-    count = round(scenario.former * len(all_) / scenario.processes)
-    return all_[len(all_) - count :]
+def scaled(scenario: Scenario, processes: int) -> Scenario:
+    """The same with so many processes: counts grow in proportion."""
+    scale = processes / scenario.processes
+    fault = [msgspec.structs.replace(one, count=max(1, round(one.count * scale))) for one in scenario.fault]
+    former = round(scenario.former * scale)
+    return msgspec.structs.replace(scenario, processes=processes, fault=fault, former=former)
 
 
-def drifts(scenario: Scenario, seed: int, processes: int = 0) -> dict[str, float]:
+def formers(scenario: Scenario) -> tuple[str, ...]:
+    """Those that speak the wire version before this one: the last ones."""
+    all_ = names(scenario.processes)
+    return all_[len(all_) - scenario.former :]
+
+
+def drifts(scenario: Scenario, seed: int) -> dict[str, float]:
     """How much too fast each one's monotonic clock runs, in parts of a million."""
     draw, most = Random(f"drift {seed}"), scenario.drift_ppm
-    return {name: draw.uniform(-most, most) for name in names(processes or scenario.processes)}
+    return {name: draw.uniform(-most, most) for name in names(scenario.processes)}
 
 
 def cut_ways(draw: Random, all_: tuple[str, ...], parts: str) -> tuple[tuple[str, str], ...]:
@@ -151,17 +158,13 @@
     )
 
 
-def draw_schedule(scenario: Scenario, seed: int, processes: int = 0) -> list[Act]:
-    """The acts that a seed draws, in order of time; with other `processes`, counts grow in proportion."""
-    draw, all_ = Random(seed), names(processes or scenario.processes)
-    scale = len(all_) / scenario.processes
+def draw_schedule(scenario: Scenario, seed: int) -> list[Act]:
+    """The acts that a seed draws, in order of time."""
+    draw, all_ = Random(seed), names(scenario.processes)
     acts: list[Act] = []
     for one in scenario.fault:
         for i in range(one.times):
-            at_s = one.at_s + i * one.every_s
-            acts += _acts(
-                draw, all_, msgspec.structs.replace(one, count=max(1, round(one.count * scale))), at_s
-            )
+            acts += _acts(draw, all_, one, one.at_s + i * one.every_s)
     return sorted(acts, key=lambda act: act.at_s)
 
 
--- a/leadslip/lab/play.py
+++ b/leadslip/lab/play.py
@@ -8,7 +8,7 @@
 
 from leadslip.drill import check
 from leadslip.drill.broken import Former
-from leadslip.drill.scenario import Act, Scenario, draw_schedule, drifts, formers, names
+from leadslip.drill.scenario import Act, Scenario, draw_schedule, drifts, formers, names, scaled
 from leadslip.fleet.history import follow
 from leadslip.fleet.view.members import process_of
 from leadslip.fleet.view.view import View
@@ -22,10 +22,11 @@
     """One run of a scenario with so many members."""
 
     def __init__(self, scenario: Scenario, members: int, seed: int, acts: list[Act] | None = None) -> None:
+        scenario = scaled(scenario, members)
         self.scenario, self.members, self.seed = scenario, members, seed
         self.names = names(members)
-        self.acts = acts if acts is not None else draw_schedule(scenario, seed, members)
-        self.formers, self.drifts = formers(scenario, members), drifts(scenario, seed, members)
+        self.acts = acts if acts is not None else draw_schedule(scenario, seed)
+        self.formers, self.drifts = formers(scenario), drifts(scenario, seed)
         self.fleet = Fleet(seed)
         self.histories: dict[str, list[dict]] = {}
         self.faults: list[dict] = []
