Drill: callers ask for readiness first, so that no connection is closed as silent under a call

Callers connected before their first call, which came over 2 s later for one in fifty: the proxy closes such a connection as silent, and a call that crosses that close, more so in a process stopped in hops, is lost as the protocol allows.

--- a/leadslip/drill/callers.py
+++ b/leadslip/drill/callers.py
@@ -16,6 +16,7 @@
     "Priority-Class: resident-call\r\nExpires-Ms: {valid}\r\nP-Trunk-Info: dest:0;width:1;via:-1\r\n"
     "Content-Length: 5\r\n\r\nc=off"
 )
+READY = b"OPTIONS sip:proxy@net SIP/2.0\r\nCall-ID: %s\r\nCSeq: 1 OPTIONS\r\nContent-Length: 0\r\n\r\n"
 HEARD = b"SIP/2.0 200 OK\r\nCall-ID: %s\r\nCSeq: 2 BYE\r\nContent-Length: 0\r\n\r\n"
 
 
@@ -34,6 +35,8 @@
                 if self.writer is None or self.writer.is_closing():
                     reader, self.writer = await asyncio.open_connection(*self.address)
                     asyncio.get_running_loop().create_task(self.listen(reader, self.writer))
+                    # Who says nothing for two seconds is closed, and a call that crosses that would be lost.
+                    self.writer.write(READY % f"{self.draw.getrandbits(64):016x}".encode())
                 await asyncio.sleep(self.draw.expovariate(self.rate))
                 if self.writer.is_closing():
                     continue
