Drill and benchmark start their toy server by one function

Cause: `duplicates` showed the same six lines in drill/run.py and benchmarks/fleet.py. Change: start_toy in drill/run.py serves both.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -29,7 +29,7 @@
 
 from leadslip.checks import Tally
 from leadslip.drill.callers import Caller
-from leadslip.drill.run import own_network
+from leadslip.drill.run import own_network, start_toy
 from leadslip.fleet import wire
 from leadslip.fleet.view import suspicion
 from leadslip.fleet.view.members import process_of
@@ -417,16 +417,10 @@
 ) -> dict[str, object]:
     """Real processes on loopback, one toy server behind all of them."""
     prefix, held = own_network()
-    toy = await asyncio.create_subprocess_exec(
-        sys.executable,
-        "-c",
-        "from leadslip.cli.toy import serve; serve()",
-        stdin=asyncio.subprocess.PIPE,
-        stdout=asyncio.subprocess.PIPE,
-    )
+    toy, ports = await start_toy()
     running: list[asyncio.subprocess.Process] = []
     try:
-        server, board = (int(word) for word in (await toy.stdout.readline()).split())
+        server, board = await ports
         (place / "fleet.key").write_text(secrets.token_hex(32) + "\n")
 
         async def start(i: int, fleet: bool) -> asyncio.subprocess.Process:
--- a/leadslip/drill/run.py
+++ b/leadslip/drill/run.py
@@ -16,6 +16,7 @@
 import socket
 import sys
 import time
+from collections.abc import Awaitable
 from pathlib import Path
 
 import msgspec
@@ -49,6 +50,23 @@
     raise DrillError("no free network on loopback")
 
 
+async def start_toy() -> tuple[asyncio.subprocess.Process, Awaitable[tuple[int, int]]]:
+    """A toy server and notice board of their own process, and their ports once they listen."""
+    toy = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-c",
+        "from leadslip.cli.toy import serve; serve()",
+        stdin=asyncio.subprocess.PIPE,
+        stdout=asyncio.subprocess.PIPE,
+    )
+
+    async def ports() -> tuple[int, int]:
+        server, board = (await toy.stdout.readline()).split()
+        return int(server), int(board)
+
+    return toy, ports()
+
+
 def live_names(view: dict) -> list[str]:
     """The names of those that a view holds live."""
     return sorted(one["name"] for one in view["members"] if one["state"] in ("alive", "suspect"))
@@ -214,16 +232,10 @@
         scenario, folder = self.scenario, self.folder
         (folder / "fleet.key").write_text(secrets.token_hex(32) + "\n")
         (folder / "schedule.json").write_bytes(msgspec.json.encode({"seed": self.seed, "acts": self.acts}))
-        toy = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-c",
-            "from leadslip.cli.toy import serve; serve()",
-            stdin=asyncio.subprocess.PIPE,
-            stdout=asyncio.subprocess.PIPE,
-        )
+        toy, ports = await start_toy()
         relays, callers, tasks = [], [], []
         try:
-            self.toy = tuple(int(word) for word in (await toy.stdout.readline()).split())
+            self.toy = await ports
             for i, name in enumerate(names(scenario.processes)):
                 self.processes[name] = Process(self, name, i)
             name_of = {one.ip: one.name for one in self.processes.values()}
