--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -474,6 +474,12 @@
     await asyncio.sleep(1.0)
     good = [one for one in caller.calls.values() if [code for _, code in one["answers"]] == [200]]
     waits = sorted(one["answers"][0][0] - one["at_ms"] for one in good)
+    for one in caller.calls.values():
+        if one not in good:
+            answers = [code for _, code in one["answers"]]
+            click.echo(
+                f"{one['id']} {(one['at_ms'] / 1000.0) % 1000:.1f} s: {answers}, lost {one['lost']}", err=True
+            )
     return [len(good) / len(caller.calls), statistics.median(waits), waits[int(len(waits) * 0.99)], busy]
 
 
