Give each error a code and an action; make each part a folder, settings below their readers

Need: operators have to read what to do, and six circles of imports stood between parts and what they wire. Change: errors.py with a type for each error that a person can meet, shown by log, operators' address (RFC 9457, written by hand: six keys, and the packages for it bring a web framework along) and command line; parts/NAME/{settings,part}.py; calls of operators get path, query and body and may answer later.

--- a/leadslip/__main__.py
+++ b/leadslip/__main__.py
@@ -16,11 +16,14 @@
 from leadslip.checks import Tally
 from leadslip.core import Deadlines, Engine, Watcher, Watchers
 from leadslip.counters import Counters
+from leadslip.errors import OperatorError
 from leadslip.logs import Log, open_log
 from leadslip.net.board import Board
 from leadslip.net.clients import Clients
 from leadslip.net.links import listen_shared, stop_shared
 from leadslip.net.servers import Servers
+from leadslip.operators import Answer, Asked, Calls, Verbs
+from leadslip.parts.part import Part
 from leadslip.readiness import Readiness
 
 DRAIN_MS = 900.0  # new work may still come for so long after SIGTERM
@@ -34,6 +37,13 @@
 TALLY_EVERY_MS = 10_000.0
 
 
+class ListenError(OperatorError):
+    """An address of the configuration can't be listened at."""
+
+    code = "run.listen"
+    action = "Free the address or name another; see that it is one of this machine's."
+
+
 class SystemClock:
     """Unix milliseconds: the rules, `boot_ms` and all deadlines go by this clock."""
 
@@ -81,11 +91,11 @@
         self.readiness = Readiness()
         self.port = None
         self.deadlines = Deadlines(self.clock, reactor)
-        self.parts: dict[str, parts.Part] = {}
+        self.parts: dict[str, Part] = {}
         watches: dict[str, list[Watcher]] = {"sip": [], "dns": []}
         for name, told in wanted.parts.items():
             if told is not None:
-                part = self.parts[name] = parts.kind(name)(self, told)
+                part = self.parts[name] = parts.wiring(name)(self, told)
                 part.watch(watches)
         self.watches = {name: watcher_of(held) for name, held in watches.items()}
         self.servers = Servers(
@@ -157,27 +167,25 @@
         self.servers.listed(notice.news, notice.addresses)
         self.engine.news(notice.news)
 
-    def calls(self) -> parts.Calls:
+    def calls(self) -> Calls:
         """What operators may call: the proxy's own calls, and those of its parts."""
 
-        def ready() -> parts.Answer:
-            return (
-                parts.Answer(200, b"ready\n") if self.readiness.ready() else parts.Answer(503, b"not ready\n")
-            )
+        def ready(asked: Asked) -> Answer:
+            return Answer(200, b"ready\n") if self.readiness.ready() else Answer(503, b"not ready\n")
 
-        def out() -> parts.Answer:
+        def out(asked: Asked) -> Answer:
             self.out()
-            return parts.Answer(200, b"out of service\n")
+            return Answer(200, b"out of service\n")
 
-        def back() -> parts.Answer:
+        def back(asked: Asked) -> Answer:
             self.back()
-            return parts.Answer(200, b"in service\n")
+            return Answer(200, b"in service\n")
 
-        told: parts.Calls = {
-            b"ready": {b"GET": ready, b"HEAD": ready},
-            b"counters": {b"GET": lambda: parts.Answer(200, self.figures.text())},
-            b"out-of-service": {b"PUT": out, b"POST": out},
-            b"in-service": {b"PUT": back, b"POST": back},
+        told: Calls = {
+            b"ready": Verbs({b"GET": ready, b"HEAD": ready}),
+            b"counters": Verbs({b"GET": lambda asked: Answer(200, self.figures.text())}),
+            b"out-of-service": Verbs({b"PUT": out, b"POST": out}),
+            b"in-service": Verbs({b"PUT": back, b"POST": back}),
         }
         for part in self.parts.values():
             told |= part.calls()
@@ -221,13 +229,13 @@
             running = parts.fixed(self.wanted.parts)
             for key, lasting in parts.fixed(wanted.parts).items():
                 if lasting != running[key]:
-                    raise config.MalformedError(f"{key} can't change without a restart")
+                    raise config.FixedError(f"{key} can't change without a restart")
             if (conf.settings, conf.most_held) != (self.conf.settings, self.conf.most_held):
                 self.engine.adopt(conf.settings, conf.most_held)  # first, as the Controller may refuse them
-        except (config.MalformedError, ValueError) as fault:
+        except OperatorError as fault:
             self.figures.config_rejected += 1
             self.tally.add("reloads.rejected")
-            self.log("reload.refused", level="error", fault=str(fault))
+            self.log("reload.refused", level="error", **fault.fields())
             return
         old, self.conf, self.wanted = self.conf, conf, wanted
         for name, part in self.parts.items():
@@ -289,25 +297,28 @@
     signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(lambda: node.reload()))
     try:
         wanted = Wanted.load(config.load())
-    except config.MalformedError as fault:
-        print(f"leadslip: {fault}", file=sys.stderr)
+        show_errors()
+        logs = wanted.parts["logs"]
+        node = Node(wanted, open_log(logs.format, logs.level, wanted.conf.name))
+    except OperatorError as fault:
+        print(f"leadslip: {fault.line()}", file=sys.stderr)
         return 2
-    show_errors()
-    logs = wanted.parts["logs"]
-    node = Node(wanted, open_log(logs.format, logs.level, wanted.conf.name))
     failed = []
 
     def start() -> None:
         try:
             node.start()
         except net_error.CannotListenError as fault:
-            failed.append(str(fault))
+            failed.append(ListenError(str(fault)).line())
+            reactor.stop()
+        except OperatorError as fault:
+            failed.append(fault.line())
             reactor.stop()
 
     reactor.callWhenRunning(start)
     reactor.run()
     if failed:
-        print(f"leadslip: listen: {failed[0]}", file=sys.stderr)
+        print(f"leadslip: {failed[0]}", file=sys.stderr)
         return 2
     return 0
 
--- a/leadslip/choice.py
+++ b/leadslip/choice.py
@@ -492,4 +492,4 @@
     wrong += ["cold_fraction"] if settings.cold_fraction > 1 else []
     wrong += ["classes"] if not settings.classes or min(kind.worth for kind in settings.classes) < 0 else []
     if wrong:
-        raise ValueError(f"{wrong[0]} makes no sense: {getattr(settings, wrong[0])!r}")
+        raise face.SettingsError(f"{wrong[0]} makes no sense: {getattr(settings, wrong[0])!r}")
--- a/leadslip/cli/__init__.py
+++ b/leadslip/cli/__init__.py
@@ -7,6 +7,8 @@
 
 import click
 
+from leadslip.errors import OperatorError
+
 GROUPS = {  # name -> module, object, what it does; the modules load what they need, so help stays quick
     "run": ("run", "run", "Run one proxy, as its configuration says."),
     "demo": ("demo", "demo", "Show calls through a proxy and a stand-in server, without any file."),
@@ -51,6 +53,9 @@
     except click.ClickException as fault:
         click.echo(f"leadslip: {' '.join(fault.format_message().split())}", err=True)
         code = fault.exit_code
+    except OperatorError as fault:
+        click.echo(f"leadslip: {' '.join(fault.line().split())}", err=True)
+        code = 2
     except click.Abort:
         code = 130
     sys.exit(code if isinstance(code, int) else 0)
--- /dev/null
+++ b/leadslip/cli/errors.py
@@ -0,0 +1,43 @@
+"""The page of all errors, made from their types: python -m leadslip.cli.errors > docs/operators/errors.md"""
+
+from __future__ import annotations
+
+import importlib
+import pkgutil
+
+import leadslip
+from leadslip.errors import all_errors
+
+HEAD = """# Errors, and what to do
+
+Every error that the program tells has a code that never changes, what happened, and what an operator can do. The log
+bears them as `fault`, `code` and `action`; the operators' address answers a problem in JSON (RFC 9457,
+`application/problem+json`: `type`, `title`, `status`, `detail`, with `code` and `action` beside them); the command line
+prints `leadslip: WHAT HAPPENED (CODE): WHAT TO DO` and ends with 2. This page is made from the program
+(`python -m leadslip.cli.errors`), and a test holds it equal.
+
+| code | what it means | what to do | status |
+| --- | --- | --- | --- |
+"""
+NOT_LOADED = ("__main__", "leadslip.cli.errors")
+
+
+def load() -> None:
+    """Import every module, so that every type is there."""
+    for one in pkgutil.walk_packages(leadslip.__path__, "leadslip."):
+        if not one.name.endswith(NOT_LOADED):
+            importlib.import_module(one.name)
+    importlib.import_module("leadslip.__main__")
+
+
+def page() -> str:
+    """The page whole, in order of codes."""
+    load()
+    rows = sorted({(one.code, one.title(), one.action, one.status) for one in all_errors()})
+    return HEAD + "".join(
+        f"| `{code}` | {title} | {action} | {status} |\n" for code, title, action, status in rows
+    )
+
+
+if __name__ == "__main__":
+    print(page(), end="")
--- a/leadslip/cli/fleet.py
+++ b/leadslip/cli/fleet.py
@@ -13,13 +13,21 @@
 import click
 
 from leadslip.cli.told import as_json, table, tell
+from leadslip.errors import OperatorError
 
 if TYPE_CHECKING:
     from rich.table import Table
 
 
+class AskError(OperatorError):
+    """A proxy can't be asked about its fleet."""
+
+    code, status = "command.ask", 502
+    action = "See that the address is the operators' address of a proxy that runs, and that its fleet is on."
+
+
 def asked(ops: str, path: str) -> dict:
-    """The answer of a proxy's operators' address; ends the command with 2 where there is none."""
+    """The answer of a proxy's operators' address; raises AskError where there is none."""
     host, _, port = ops.rpartition(":")
     try:
         link = http.client.HTTPConnection(host, int(port), timeout=5.0)
@@ -27,11 +35,11 @@
         answer = link.getresponse()
         body = answer.read()
     except (OSError, ValueError, http.client.HTTPException) as fault:
-        raise click.UsageError(f"{ops} can't be asked: {fault}") from fault
+        raise AskError(f"{ops} can't be asked: {fault}") from fault
     if answer.status == 404:
-        raise click.UsageError(f"{ops}: the fleet is off there")
+        raise AskError(f"{ops}: the fleet is off there")
     if answer.status != 200:
-        raise click.UsageError(f"{ops} answers {answer.status}")
+        raise AskError(f"{ops} answers {answer.status}")
     return json.loads(body)
 
 
--- a/leadslip/cli/lab.py
+++ b/leadslip/cli/lab.py
@@ -7,8 +7,8 @@
 import click
 
 from leadslip.cli.drill import drawn
-from leadslip.cli.told import as_json, faults, table, tell
-from leadslip.drill.scenario import ScenarioError, load
+from leadslip.cli.told import as_json, table, tell
+from leadslip.drill.scenario import load
 
 
 @click.group()
@@ -22,7 +22,6 @@
 @click.option("--seed", type=int, default=1, show_default=True)
 @click.option("--plot", type=click.Path(dir_okay=False), help="Draw the run into this SVG or PNG file.")
 @as_json
-@faults(ScenarioError)
 def fleet(scenario: str, members: int, seed: int, plot: str | None, json_: bool) -> None:
     """Play a drill's SCENARIO with so many members; 0 when all invariants held, 1 when one is broken."""
     from leadslip.lab.play import Play
--- a/leadslip/cli/told.py
+++ b/leadslip/cli/told.py
@@ -10,6 +10,8 @@
 
 import click
 
+from leadslip.errors import OperatorError
+
 as_json = click.option("--json", "json_", is_flag=True, help="Print the figures as one JSON object.")
 
 
@@ -54,8 +56,22 @@
     ]
 
 
+class FileError(OperatorError):
+    """A file that a command was given can't be read."""
+
+    code, status = "command.file", 400
+    action = "See that the file is there, may be read, and is what the command takes."
+
+
+class PlotError(OperatorError):
+    """A plot was asked for and the library for it is missing."""
+
+    code, status = "command.plot", 501
+    action = "Install leadslip[plots], or leave the plot out."
+
+
 def faults(*kinds: type[Exception]) -> Callable:
-    """Turn faults of these kinds into one line and exit code 2."""
+    """Turn faults of these kinds, of a file that a command was given, into a FileError."""
 
     def around(work: Callable) -> Callable:
         @wraps(work)
@@ -63,7 +79,7 @@
             try:
                 return work(*args, **named)
             except kinds as fault:
-                raise click.UsageError(str(fault)) from fault
+                raise FileError(str(fault)) from fault
 
         return guarded
 
--- a/leadslip/cli/trunks.py
+++ b/leadslip/cli/trunks.py
@@ -7,12 +7,11 @@
 
 import click
 
-from leadslip.cli.told import as_json, faults, table, tell
+from leadslip.cli.told import PlotError, as_json, faults, table, tell
 from leadslip.trunks import losses, plan, sizing
 from leadslip.trunks import redials as again
 from leadslip.trunks.losses import LossError
 
-bad_figures = faults(LossError)
 load_option = click.option("--erlangs", type=float, required=True, help="Offered load in erlangs.")
 trunks_option = click.option("--trunks", "trunks_", type=int, required=True, help="Trunks of the group.")
 
@@ -30,7 +29,6 @@
 @click.option("--persistence", type=float, default=0.0, help="The part of the lost that is dialled again.")
 @click.option("--redials", type=int, default=2, help="How often at most.")
 @as_json
-@bad_figures
 def blocking(
     erlangs: float,
     trunks_: int,
@@ -60,7 +58,6 @@
 @click.option("--hold-s", type=float, required=True, help="Mean holding time in seconds.")
 @click.option("--over-s", type=float, default=0.0, help="The wait in question, in seconds.")
 @as_json
-@bad_figures
 def wait(erlangs: float, trunks_: int, hold_s: float, over_s: float, json_: bool) -> None:
     """The chance to wait, the mean wait and the chance to wait longer than --over-s (Erlang C)."""
     figures = {
@@ -80,7 +77,6 @@
 @click.option("--calls", type=float, help="The load was measured from so many calls: take its upper limit.")
 @click.option("--confidence", type=float, default=0.95, help="Of that limit, two-sided.")
 @as_json
-@bad_figures
 def size(
     erlangs: float,
     lost: float,
@@ -110,7 +106,6 @@
 @click.option("--blocking", "lost", type=float, required=True, help="The part that may be lost.")
 @click.option("--peakedness", type=float, default=1.0, help="Variance of the load over its mean.")
 @as_json
-@bad_figures
 def load(trunks_: int, lost: float, peakedness: float, json_: bool) -> None:
     """The load that a group takes at a grade of service."""
     found = (
@@ -125,7 +120,6 @@
 @load_option
 @trunks_option
 @as_json
-@bad_figures
 def overflow(erlangs: float, trunks_: int, json_: bool) -> None:
     """Mean, variance and peakedness of what overflows from a group."""
     mean, variance = losses.overflow(trunks_, erlangs)
@@ -137,7 +131,6 @@
 @click.option("--blocking", "lost", type=float, required=True, help="The part of all attempts that is lost.")
 @click.option("--persistence", type=float, required=True, help="The part of the lost that is dialled again.")
 @as_json
-@bad_figures
 def fresh(carried: float, lost: float, persistence: float, json_: bool) -> None:
     """The load offered for the first time, redials left out (ITU-T E.501)."""
     tell({"erlangs": again.fresh_load(carried, lost, persistence)}, json_)
@@ -149,7 +142,6 @@
 @click.option("--others", type=float, required=True, help="Load of the others, in erlangs.")
 @click.option("--blocking", "goal", type=float, required=True, help="What the spared class may lose.")
 @as_json
-@bad_figures
 def reserve(trunks_: int, spared: float, others: float, goal: float, json_: bool) -> None:
     """Levels of trunk reservation, up to the first that spares a class enough, and what each costs the others."""
     found = sizing.levels(trunks_, spared, others, goal)
@@ -164,7 +156,7 @@
 @click.argument("file", type=click.Path(dir_okay=False))
 @click.option("--store", "path", type=click.Path(dir_okay=False), help="Read measured loads from this store.")
 @as_json
-@faults(plan.PlanError, LossError, OSError, tomllib.TOMLDecodeError)
+@faults(OSError, tomllib.TOMLDecodeError)
 def plan_(file: str, path: str | None, json_: bool) -> None:
     """Size all groups of a plan, those that overflow together with their final group."""
     with open(file, "rb") as opened:
@@ -221,19 +213,15 @@
     store: str, kind: str, group: str | None, confidence: float, plot: str | None, json_: bool
 ) -> None:
     """The busy hour of each group, from the traffic that a proxy has measured."""
-    from leadslip.store.base import StoreError
     from leadslip.trunks import report
 
-    try:
-        quarters = report.Quarters(store)
-        found = [quarters.told(name, kind, confidence) for name in ([group] if group else quarters.groups)]
-    except (StoreError, LossError) as fault:
-        raise click.UsageError(str(fault)) from fault
+    quarters = report.Quarters(store)
+    found = [quarters.told(name, kind, confidence) for name in ([group] if group else quarters.groups)]
     if plot is not None:
         try:
             report.draw(quarters, [one.group for one in found], plot)
         except ImportError as fault:
-            raise click.UsageError(f"--plot needs the extra leadslip[plots]: {fault}") from fault
+            raise PlotError(f"--plot: {fault}") from fault
     lines = table(
         (
             "group",
--- a/leadslip/config.py
+++ b/leadslip/config.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 
 from leadslip import interface as face
+from leadslip.errors import OperatorError
 
 Fields = dict[str, str]
 Address = tuple[str, int]
@@ -38,8 +39,64 @@
 }
 
 
-class MalformedError(Exception):
-    """A value that is missing or makes no sense; the text names its key."""
+class MalformedError(OperatorError):
+    """A value of the configuration makes no sense; the text names its key."""
+
+    code, status = "config.malformed", 400
+    action = "Correct the value of the key named; a proxy that runs keeps the configuration it has."
+
+    def within(self, path: str) -> MalformedError:
+        """The same, of a key that stands below a path."""
+        return type(self)(f"{path}{self}")
+
+
+class MissingError(MalformedError):
+    """A key that the configuration must have is not there."""
+
+    code = "config.missing"
+    action = "Add the key named."
+
+
+class UnknownKeyError(MalformedError):
+    """The configuration has a key that this version does not know."""
+
+    code = "config.unknown-key"
+    action = "Remove the key or correct its spelling; if it is of a newer version, upgrade first."
+
+
+class BoundsError(MalformedError):
+    """A figure of the configuration is out of its bounds."""
+
+    code = "config.bounds"
+    action = "Choose a figure within the bounds named."
+
+
+class TakenError(MalformedError):
+    """A name or an address is used twice in the configuration."""
+
+    code = "config.taken"
+    action = "Give one of the two another name or address."
+
+
+class UnreadableError(MalformedError):
+    """A file of the configuration can't be read."""
+
+    code = "config.unreadable"
+    action = "See that the file is there, may be read by the proxy's user, and is whole."
+
+
+class FixedError(MalformedError):
+    """A key of the configuration can't change while the proxy runs."""
+
+    code = "config.fixed"
+    action = "Put the old value back and reload, or restart the proxy with the new one."
+
+
+class NeedsError(MalformedError):
+    """A part of the configuration needs another that is off."""
+
+    code = "config.needs"
+    action = "Turn the part named on, or this one off."
 
 
 def number(fields: Fields, key: str, default: float | None = None) -> float:
@@ -47,7 +104,7 @@
     text = fields.get(key)
     if text is None:
         if default is None:
-            raise MalformedError(f"{key} is missing")
+            raise MissingError(f"{key} is missing")
         return default
     try:
         value = float(text)
@@ -69,7 +126,7 @@
 def word(fields: Fields, key: str) -> str:
     """The text under a key, which must be there."""
     if not fields.get(key):
-        raise MalformedError(f"{key} is missing")
+        raise MissingError(f"{key} is missing")
     return fields[key]
 
 
@@ -240,7 +297,7 @@
     """A member of a JSON object, which must be there and of the kind."""
     name = f"{path}.{key}" if path else key
     if key not in where:
-        raise MalformedError(f"{name} is missing")
+        raise MissingError(f"{name} is missing")
     value = where[key]
     if not isinstance(value, kind) or (isinstance(value, bool) and kind is not bool):
         raise MalformedError(f"{name} makes no sense: {json.dumps(value)[:80]}")
@@ -293,13 +350,13 @@
             raise MalformedError("services is empty")
         for key in POSITIVE + tuple(f"services.{i}.deadline_ms" for i in range(len(settings.classes))):
             if key in flat and not number(flat, key) > 0:
-                raise MalformedError(f"{key} must be above 0: {flat[key]}")
+                raise BoundsError(f"{key} must be above 0: {flat[key]}")
         if settings.cold_fraction > 1:
-            raise MalformedError(f"obligations.cold_from must not be above 1: {settings.cold_fraction}")
+            raise BoundsError(f"obligations.cold_from must not be above 1: {settings.cold_fraction}")
         dial_timeout_ms = number(flat, "limits.dial_timeout_ms", 500.0)
         most_held = whole(flat, "limits.most_held", 20_000)
     except MalformedError as fault:
-        raise MalformedError(f"settings.{fault}") from fault
+        raise fault.within("settings.") from fault
     told_first = member(told, "known", Mapping)
     notices = [
         notice_of(event, f"known.notices.{i}")
@@ -334,7 +391,7 @@
     """Whether a part's file turns it on; raises MalformedError for a key that it does not know."""
     for key in told:
         if key != "enabled" and key not in keys:
-            raise MalformedError(f"{path}.{key} is unknown")
+            raise UnknownKeyError(f"{path}.{key} is unknown")
     enabled = told.get("enabled", False)
     if not isinstance(enabled, bool):
         raise MalformedError(f"{path}.enabled is neither true nor false: {enabled!r}")
@@ -348,7 +405,7 @@
         value = told.get(key, default)
         kinds = int if isinstance(default, int) else (int, float)
         if isinstance(value, bool) or not isinstance(value, kinds) or not least <= value <= most:
-            raise MalformedError(f"{path}.{key} must lie between {least} and {most}: {value!r}")
+            raise BoundsError(f"{path}.{key} must lie between {least} and {most}: {value!r}")
         figures[key] = value
     return figures
 
@@ -362,7 +419,7 @@
         with open(path or file_name, "rb") as file:
             return tomllib.load(file)
     except (OSError, ValueError) as fault:
-        raise MalformedError(f"{variable if path else file_name} can't be read: {fault}") from fault
+        raise UnreadableError(f"{variable if path else file_name} can't be read: {fault}") from fault
 
 
 def read_json(path: str, key: str) -> object:
@@ -371,14 +428,14 @@
         with open(path, encoding="utf-8") as file:
             return json.load(file)
     except (OSError, ValueError) as fault:
-        raise MalformedError(f"{key} can't be read: {fault}") from fault
+        raise UnreadableError(f"{key} can't be read: {fault}") from fault
 
 
 def load(environ: Mapping[str, str] = os.environ) -> Config:
     """The configuration that the environment names; NODE_NAME, NODE_LISTEN and NODE_OPS fill gaps in the file."""
     path = environ.get("NODE_CONFIG")
     if not path:
-        raise MalformedError("NODE_CONFIG is missing")
+        raise MissingError("NODE_CONFIG is missing")
     told = read_json(path, "NODE_CONFIG")
     if not isinstance(told, dict):
         return config_of(told)
@@ -407,16 +464,14 @@
     conf = load(environ)
     for key in ("name", "listen", "ops"):
         if getattr(conf, key) != getattr(running, key):
-            raise MalformedError(f"{key} can't change without a restart: {getattr(conf, key)!r}")
+            raise FixedError(f"{key} can't change without a restart: {getattr(conf, key)!r}")
     # Guards against a file cut or garbled on its way: a default would change the running rules unseen.
     missing = sorted(running.keys - conf.keys)
     if missing:
-        raise MalformedError(f"{missing[0]} is missing: a revision holds every key of the running file")
+        raise MissingError(f"{missing[0]} is missing: a revision holds every key of the running file")
     held = frozenset.intersection(*running.class_shapes) if running.class_shapes else frozenset()
     for i, shape in enumerate(conf.class_shapes):
         lacking = sorted(held - shape)
         if lacking:
-            raise MalformedError(
-                f"settings.services.{i}.{lacking[0]} is missing: every running class holds it"
-            )
+            raise MissingError(f"settings.services.{i}.{lacking[0]} is missing: every running class holds it")
     return conf
--- a/leadslip/configure.py
+++ b/leadslip/configure.py
@@ -20,7 +20,16 @@
 from pathlib import Path
 
 from leadslip import config, parts
-from leadslip.config import MalformedError
+from leadslip.config import MalformedError, MissingError, TakenError, UnknownKeyError, UnreadableError
+from leadslip.errors import OperatorError
+
+
+class UnwritableError(OperatorError):
+    """A configuration can't be written."""
+
+    code = "config.unwritable"
+    action = "See that the folder may be written and has room; what was written whole stays."
+
 
 SHARED = ("board", "settings", "limits", "servers", *parts.NAMES)  # a part has a TOML file beside config.json
 OWN = ("name", "listen", *SHARED)
@@ -33,7 +42,7 @@
         with open(path, "rb") as file:
             return tomllib.load(file)
     except (OSError, ValueError) as fault:
-        raise MalformedError(f"can't be read: {fault}") from fault
+        raise UnreadableError(f"can't be read: {fault}") from fault
 
 
 def notices_of(servers: object) -> dict:
@@ -46,7 +55,7 @@
             raise MalformedError(f"servers.{i} is no table")
         for key in server:
             if key not in ENTRY_KEYS:
-                raise MalformedError(f"servers.{i}.{key} is unknown")
+                raise UnknownKeyError(f"servers.{i}.{key} is unknown")
         targets.append({"pod_group": i, "az": "", "state": "active", "boot_ms": 0} | dict(server))
     return {"rev": 1, "notices": [{"rev": 1, "pool": {"rev": 1, "all": True, "targets": targets}}]}
 
@@ -55,20 +64,20 @@
     """The full configuration of each application, checked; the shared part fills its gaps."""
     for key in told:
         if key not in (*SHARED, "application"):
-            raise MalformedError(f"{key} is unknown")
+            raise UnknownKeyError(f"{key} is unknown")
     listed = told.get("application")
     if not isinstance(listed, list) or not listed:
-        raise MalformedError("application is missing")
+        raise MissingError("application is missing")
     done: dict[str, dict] = {}
     taken: dict[str, str] = {}
     for i, own in enumerate(listed):
         at = f"application.{i}"
         for key in own:
             if key not in OWN:
-                raise MalformedError(f"{at}.{key} is unknown")
+                raise UnknownKeyError(f"{at}.{key} is unknown")
         name = str(config.member(own, "name", str, at))
         if not name or name != Path(name).name or name in done:
-            raise MalformedError(f"{at}.name is empty, no file name or used twice: {name!r}")
+            raise TakenError(f"{at}.name is empty, no file name or used twice: {name!r}")
         merged = {key: value for key, value in told.items() if key != "application"} | own
         full = {
             key: merged[key] for key in ("name", "listen", "board", "limits", "settings") if key in merged
@@ -81,14 +90,14 @@
             for part in parts.NAMES:
                 around.settings[part] = parts.kind(part).settings(merged.get(part, {}), around)
         except MalformedError as fault:
-            raise MalformedError(f"{at} ({name}): {fault}") from fault
+            raise fault.within(f"{at} ({name}): ") from fault
         held = [("listen", conf.listen)]
         for part, told_of in around.settings.items():
             held += parts.kind(part).taken(told_of) if told_of is not None else ()
         for key, where in held:
             if where in taken:
                 shown = "{}:{}".format(*where) if isinstance(where, tuple) else where
-                raise MalformedError(f"{at}.{key} is taken by {taken[where]}: {shown}")
+                raise TakenError(f"{at}.{key} is taken by {taken[where]}: {shown}")
             taken[where] = name
         done[name] = {"config": full} | {part: merged.get(part) for part in parts.NAMES}
     return done
@@ -155,8 +164,11 @@
             else:
                 check(path)
                 print(f"{path}: fine")
-        except (MalformedError, OSError) as fault:
-            print(f"{path}: {fault}", file=sys.stderr)
+        except OperatorError as fault:
+            print(f"{path}: {fault.line()}", file=sys.stderr)
+            wrong = 2
+        except OSError as fault:
+            print(f"{path}: {UnwritableError(str(fault)).line()}", file=sys.stderr)
             wrong = 2
     return wrong
 
--- a/leadslip/core.py
+++ b/leadslip/core.py
@@ -92,7 +92,7 @@
     def adopt(self, settings: face.Settings, most_held: int) -> None:
         """Take settings that have changed while running; requests already held keep their deadlines and attempts.
 
-        Raises ValueError, before anything changes, for settings that the Controller can't take.
+        Raises SettingsError, before anything changes, for settings that the Controller can't take.
         """
         self.controller.adopt(
             settings
--- a/leadslip/drill/run.py
+++ b/leadslip/drill/run.py
@@ -25,6 +25,7 @@
 from leadslip.drill.clocks import Clocks
 from leadslip.drill.relay import PORT, Relay, Ways
 from leadslip.drill.scenario import Act, Scenario, draw_schedule, drifts, formers, names
+from leadslip.errors import OperatorError
 from leadslip.site import configuration
 
 SIP, OPS = 5060, 7000
@@ -32,8 +33,11 @@
 LEAVE_S = 6.0  # a process that was told to end is killed after so long
 
 
-class DrillError(Exception):
-    """The drill itself could not be held."""
+class DrillError(OperatorError):
+    """The drill itself could not be held, whatever the program does."""
+
+    code = "drill.not-held"
+    action = "See that the machine is idle and 127/8 is free, keep the folder (--keep) and read its logs."
 
 
 def own_network() -> tuple[str, socket.socket]:
--- a/leadslip/drill/scenario.py
+++ b/leadslip/drill/scenario.py
@@ -27,6 +27,8 @@
 
 import msgspec
 
+from leadslip.errors import OperatorError
+
 PARTS = ("halves", "minority", "one", "three", "bridge", "ring")
 LINKS = ("loss", "late", "twice", "disorder", "spoil", "oneway", "hole", "mute")
 HOSTS = ("stall", "busy", "clock", "descriptors", "service")  # what begins at a process and ends there
@@ -35,8 +37,11 @@
 HERE = Path(__file__).parent / "scenarios"
 
 
-class ScenarioError(Exception):
-    """A scenario that makes no sense; the text names its key."""
+class ScenarioError(OperatorError):
+    """A scenario of a drill makes no sense; the text names its key."""
+
+    code, status = "drill.scenario", 400
+    action = "Correct the key named; `leadslip drill list` shows those that come with the program."
 
 
 class Fault(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
--- a/leadslip/fleet/agreement/documents.py
+++ b/leadslip/fleet/agreement/documents.py
@@ -19,14 +19,19 @@
 
 import msgspec
 
+from leadslip.errors import OperatorError
+
 MOST_BYTES = 256 * 1024  # of one document
 MOST_HISTORY = 200  # revisions that are remembered with what was in force then
 MOST_IDS = 1000  # changes whose ids are remembered
 MOST_TEXT = 200  # characters of an author, a reason or an id
 
 
-class RefusedError(Exception):
-    """A change that may not be proposed; the text names the rule."""
+class RefusedError(OperatorError):
+    """A change of the agreed settings may not be proposed; the text names the rule."""
+
+    code, status = "agreement.refused", 422
+    action = "Change the document as the rule named asks, and propose it again."
 
 
 class Strict(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
--- a/leadslip/fleet/agreement/raft.py
+++ b/leadslip/fleet/agreement/raft.py
@@ -22,6 +22,7 @@
 import msgspec
 
 from leadslip.checks import Tally
+from leadslip.errors import OperatorError
 
 MOST_BATCH = 64  # entries in one message
 MOST_BATCH_BYTES = 256 * 1024  # of their data; a single entry goes whatever its size
@@ -119,8 +120,11 @@
     LEADER = 3
 
 
-class RaftError(Exception):
-    """An operator's act that can't be done; the text says why."""
+class RaftError(OperatorError):
+    """A voter can't do what is asked of it now; the text says why."""
+
+    code, status = "agreement.not-now", 503
+    action = "Ask again in a moment; if it lasts, see that a majority of the voters runs and is reached."
 
 
 @dataclass(frozen=True, slots=True)
--- a/leadslip/fleet/wire.py
+++ b/leadslip/fleet/wire.py
@@ -28,6 +28,8 @@
 
 import msgspec
 
+from leadslip.errors import OperatorError
+
 VERSION = 2  # the newest that this program speaks; the oldest is LEAST
 LEAST = 1
 MAC_SIZE = 16
@@ -39,6 +41,13 @@
 MOST_SENDERS = 8192  # senders whose counts are remembered
 
 
+class KeysError(OperatorError, ValueError):
+    """The keys of the fleet can't be used together."""
+
+    code, status = "fleet.keys", 400
+    action = "Write keys of 16 to 64 bytes into the key file, each on a line; replace the one that is named."
+
+
 class WireError(Exception):
     """What arrived is not taken; the text is a short name for a counter."""
 
@@ -174,18 +183,18 @@
 class Seal:
     """Signs with the first key and takes any of them, in versions up to `speaks`.
 
-    A key is at least 16 bytes; raises ValueError for a shorter one, for none, and for two that share their mark.
+    A key is at least 16 bytes; raises KeysError for a shorter one, for none, and for two that share their mark.
     """
 
     def __init__(self, keys: Sequence[bytes], speaks: int = VERSION) -> None:
         self.speaks = speaks
         if not keys or any(len(key) < 16 for key in keys):
-            raise ValueError("a key of the fleet holds at least 16 bytes")
+            raise KeysError("a key of the fleet holds at least 16 bytes")
         self.keys: dict[int, bytes] = {}
         for key in keys:
             mark = blake2b(key, digest_size=1, person=b"leadslip-mark").digest()[0]
             if mark in self.keys:
-                raise ValueError("two keys of the fleet share a mark: replace one of them")
+                raise KeysError("two keys of the fleet share a mark: replace one of them")
             self.keys[mark] = key[:64]
         self.mark = next(iter(self.keys))
         self.heads = [bytes((version, self.mark)) for version in range(VERSION + 1)]
--- a/leadslip/interface.py
+++ b/leadslip/interface.py
@@ -9,6 +9,15 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from leadslip.errors import OperatorError
+
+
+class SettingsError(OperatorError, ValueError):
+    """Settings that the decisions can't take; the text names the field."""
+
+    code, status = "decisions.settings", 400
+    action = "Correct the figure named in the proxy's settings; a proxy that runs keeps those it has."
+
 
 class Repeat(Enum):
     """How freely a class's set-ups may be sent again."""
--- a/leadslip/keeper.py
+++ b/leadslip/keeper.py
@@ -14,8 +14,8 @@
 from leadslip.trunks.traffic import Interval, Traffic
 
 if TYPE_CHECKING:
-    from leadslip.parts.store import StoreConfig
-    from leadslip.parts.trunks import TrunksConfig
+    from leadslip.parts.store.settings import StoreConfig
+    from leadslip.parts.trunks.settings import TrunksConfig
 
 RETENTION_MS = 3_600_000.0  # between two rounds of rolling up and forgetting
 CLOSE_S = 0.5  # the store has so long to write what waits when the program ends
--- a/leadslip/net/enum.py
+++ b/leadslip/net/enum.py
@@ -20,7 +20,7 @@
 from leadslip.core import Attempt, Deadlines, Engine, Request, Watcher
 from leadslip.logs import Log
 from leadslip.net.links import AcceptedLink, AcceptedLinks, MessageError, SliceReceiver
-from leadslip.parts.enum import EnumConfig
+from leadslip.parts.enum.settings import EnumConfig
 
 HEADER = struct.Struct("!HBBHHHH")
 RESPONSE, AUTHORITATIVE, TRUNCATED, RECURSION_WANTED = 0x80, 0x04, 0x02, 0x01  # in the third byte
--- a/leadslip/net/otlp.py
+++ b/leadslip/net/otlp.py
@@ -25,7 +25,7 @@
 from leadslip import interface as face
 from leadslip.checks import Tally
 from leadslip.core import Attempt, Deadlines, Request
-from leadslip.parts.otlp import OtlpConfig
+from leadslip.parts.otlp.settings import OtlpConfig
 
 SCOPE = InstrumentationScope(name="leadslip")
 NS = 1_000_000  # nanoseconds of a millisecond
--- a/leadslip/net/peers.py
+++ b/leadslip/net/peers.py
@@ -22,7 +22,7 @@
 from leadslip.logs import Log
 
 if TYPE_CHECKING:
-    from leadslip.parts.fleet import FleetConfig
+    from leadslip.parts.fleet.settings import FleetConfig
 
 CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
 SESSION_MS = 3000.0  # a comparison takes so long at the most
--- a/leadslip/parts/enum.py
+++ b/leadslip/parts/enum/settings.py
@@ -1,4 +1,4 @@
-"""ENUM look-ups: a second front, over DNS (net/enum.py)."""
+"""Settings of ENUM look-ups over DNS (net/enum.py)."""
 
 from __future__ import annotations
 
@@ -6,8 +6,8 @@
 from dataclasses import dataclass
 
 from leadslip import interface as face
-from leadslip.config import Address, MalformedError, address_of, figures_of, member, turned_on
-from leadslip.parts import Around, Part
+from leadslip.config import Address, MalformedError, TakenError, address_of, figures_of, member, turned_on
+from leadslip.parts import Around, Kind
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,7 +43,7 @@
         raise MalformedError("enum.resolvers is empty")
     resolvers = tuple(address_of(text, f"enum.resolvers.{i}") for i, text in enumerate(listed))
     if len(set(resolvers)) < len(resolvers):
-        raise MalformedError("enum.resolvers names one twice")
+        raise TakenError("enum.resolvers names one twice")
     suffix = str(told.get("suffix", "e164.arpa")).strip(".").lower()
     if not suffix or not all(0 < len(label) < 64 for label in suffix.split(".")):
         raise MalformedError(f"enum.suffix is no domain: {suffix!r}")
@@ -69,8 +69,8 @@
     )
 
 
-class Enum(Part):
-    """The front and its engine."""
+class EnumSettings(Kind):
+    """What the file of this part may say."""
 
     name, variable, lasting = "enum", "LEADSLIP_ENUM", "enum"
     settings = staticmethod(settings)
@@ -79,21 +79,5 @@
     def taken(conf: EnumConfig) -> tuple[tuple[str, object], ...]:
         return (("enum.listen", conf.listen),)
 
-    def start(self) -> None:
-        from leadslip.net import enum
 
-        node = self.node
-        node.engines.append(
-            enum.start(
-                node.reactor,
-                self.conf,
-                node.conf.seed,
-                node.deadlines,
-                node.tally,
-                node.log,
-                node.watches["dns"],
-            )
-        )
-
-
-PART = Enum
+KIND = EnumSettings
--- /dev/null
+++ b/leadslip/parts/logs/__init__.py
@@ -0,0 +1,1 @@
+"""How events are written (logs.py); never off."""
--- a/leadslip/parts/logs.py
+++ b/leadslip/parts/logs/settings.py
@@ -1,12 +1,12 @@
-"""How events are written (logs.py); never off."""
+"""Settings of how events are written (logs.py); never off."""
 
 from __future__ import annotations
 
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from leadslip.config import MalformedError
-from leadslip.parts import Around, Part
+from leadslip.config import MalformedError, UnknownKeyError
+from leadslip.parts import Around, Kind
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,7 +24,7 @@
     """The checked configuration of the log; plain lines where nothing is said."""
     for key in told:
         if key not in ("format", "level"):
-            raise MalformedError(f"logs.{key} is unknown")
+            raise UnknownKeyError(f"logs.{key} is unknown")
     conf = LogsConfig(**told)
     if conf.format not in LOG_FORMATS:
         raise MalformedError(f"logs.format must be one of {', '.join(LOG_FORMATS)}: {conf.format!r}")
@@ -33,11 +33,11 @@
     return conf
 
 
-class Logs(Part):
-    """Needs no wiring: the log is there before the proxy."""
+class LogsSettings(Kind):
+    """What the file of this part may say."""
 
     name, variable, lasting = "logs", "LEADSLIP_LOGS", "logs"
     settings = staticmethod(settings)
 
 
-PART = Logs
+KIND = LogsSettings
--- /dev/null
+++ b/leadslip/parts/otlp/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics and traces to an OpenTelemetry collector (net/otlp.py)."""
--- a/leadslip/parts/otlp.py
+++ b/leadslip/parts/otlp/settings.py
@@ -1,4 +1,4 @@
-"""Metrics and traces to an OpenTelemetry collector (net/otlp.py)."""
+"""Settings of the export of metrics and traces (net/otlp.py)."""
 
 from __future__ import annotations
 
@@ -6,8 +6,7 @@
 from dataclasses import dataclass
 
 from leadslip.config import Address, address_of, figures_of, member, turned_on
-from leadslip.core import Watcher
-from leadslip.parts import Around, Part
+from leadslip.parts import Around, Kind
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,26 +36,11 @@
     return OtlpConfig(address_of(member(told, "collector", str, "otlp"), "otlp.collector"), **figures)
 
 
-class Otlp(Part):
-    """The exporter, and a watcher of each engine."""
+class OtlpSettings(Kind):
+    """What the file of this part may say."""
 
     name, variable, lasting = "otlp", "LEADSLIP_OTLP", "otlp"
     settings = staticmethod(settings)
 
-    def watch(self, watches: dict[str, list[Watcher]]) -> None:
-        # Imported only where wanted: the library costs some MB of the platform's memory.
-        from leadslip.net.otlp import Exporter, Watch
 
-        node = self.node
-        self.exporter = Exporter(node.reactor, self.conf, node.conf.name, node.deadlines, node.tally)
-        watches["sip"].append(Watch(self.exporter, "sip", "INVITE"))
-        watches["dns"].append(Watch(self.exporter, "dns", "NAPTR"))
-
-    def start(self) -> None:
-        self.exporter.start()
-
-    def close(self) -> None:
-        self.exporter.flush()
-
-
-PART = Otlp
+KIND = OtlpSettings
--- /dev/null
+++ b/leadslip/parts/store/__init__.py
@@ -0,0 +1,1 @@
+"""The embedded store, for what outlives the process (keeper.py, store/)."""
--- a/leadslip/parts/store.py
+++ b/leadslip/parts/store/settings.py
@@ -1,4 +1,4 @@
-"""The embedded store, for what outlives the process (keeper.py, store/)."""
+"""Settings of the embedded store, for what outlives the process (keeper.py, store/)."""
 
 from __future__ import annotations
 
@@ -6,9 +6,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from leadslip.config import MalformedError, figures_of, member, turned_on
-from leadslip.core import Watcher
-from leadslip.parts import Around, Part
+from leadslip.config import BoundsError, MalformedError, figures_of, member, turned_on
+from leadslip.parts import Around, Kind
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,7 +36,7 @@
         raise MalformedError(f"store.path is no file: {path!r}")
     figures = figures_of(told, "store", STORE_KEYS)
     if figures["days"] < figures["fine_days"]:
-        raise MalformedError(f"store.days must not be below fine_days: {figures['days']}")
+        raise BoundsError(f"store.days must not be below fine_days: {figures['days']}")
     if around is not None and around.running:
         folder = os.path.dirname(path) or "."
         if os.path.isdir(path) or not os.path.isdir(folder):
@@ -45,8 +44,8 @@
     return StoreConfig(path, **figures)
 
 
-class Store(Part):
-    """The keeper of what the other parts want kept."""
+class StoreSettings(Kind):
+    """What the file of this part may say."""
 
     name, variable, lasting = "store", "LEADSLIP_STORE", "store"
     settings = staticmethod(settings)
@@ -55,17 +54,5 @@
     def taken(conf: StoreConfig) -> tuple[tuple[str, object], ...]:
         return (("store.path", conf.path),)  # two writers of one file would hold each other up
 
-    def watch(self, watches: dict[str, list[Watcher]]) -> None:
-        from leadslip.keeper import Keeper
 
-        node = self.node
-        self.keeper = Keeper(node.reactor, self.conf, node.deadlines, node.tally, node.log)
-
-    def start(self) -> None:
-        self.keeper.start()
-
-    def close(self) -> None:
-        self.keeper.close()
-
-
-PART = Store
+KIND = StoreSettings
--- a/leadslip/parts/trunks.py
+++ b/leadslip/parts/trunks/settings.py
@@ -1,14 +1,22 @@
-"""Trunk groups: traffic measured, and trunks reserved as a live limit (trunks/)."""
+"""Settings of trunk groups: traffic measured, trunks reserved (trunks/)."""
 
 from __future__ import annotations
 
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from leadslip.config import MalformedError, figures_of, member, turned_on
-from leadslip.core import Watcher
-from leadslip.filters import Filter
-from leadslip.parts import Around, Part
+from leadslip.config import (
+    BoundsError,
+    MalformedError,
+    MissingError,
+    NeedsError,
+    TakenError,
+    UnknownKeyError,
+    figures_of,
+    member,
+    turned_on,
+)
+from leadslip.parts import Around, Kind
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,10 +49,10 @@
     if not isinstance(measure, bool):
         raise MalformedError(f"trunks.measure is neither true nor false: {measure!r}")
     if measure and around.settings.get("store") is None:
-        raise MalformedError("trunks.measure needs the store to be turned on")
+        raise NeedsError("trunks.measure needs the store to be turned on")
     interval_s = figures_of(told, "trunks", TRUNK_KEYS)["interval_s"]
     if 900 % interval_s:
-        raise MalformedError(f"trunks.interval_s must divide 900: {interval_s}")
+        raise BoundsError(f"trunks.interval_s must divide 900: {interval_s}")
     listed = told.get("group", [])
     if not isinstance(listed, list):
         raise MalformedError("trunks.group is no list of tables")
@@ -53,11 +61,11 @@
     for i, one in enumerate(listed):
         group = _trunk_group(one, f"trunks.group.{i}", around.classes)
         if group.name in groups:
-            raise MalformedError(f"trunks.group.{i}.name is used twice: {group.name!r}")
+            raise TakenError(f"trunks.group.{i}.name is used twice: {group.name!r}")
         for destination in group.destinations:
             if owner.setdefault(destination, group.name) != group.name:
                 told_by = owner[destination]
-                raise MalformedError(f"trunks.group.{i}.destinations: {destination} belongs to {told_by!r}")
+                raise TakenError(f"trunks.group.{i}.destinations: {destination} belongs to {told_by!r}")
         groups[group.name] = group
     return TrunksConfig(measure, interval_s, tuple(groups.values()))
 
@@ -67,7 +75,7 @@
         raise MalformedError(f"{at} is no table")
     for key in told:
         if key not in ("name", "destinations", "trunks", "share", "reserve"):
-            raise MalformedError(f"{at}.{key} is unknown")
+            raise UnknownKeyError(f"{at}.{key} is unknown")
     name = str(member(told, "name", str, at))
     if not name or "/" in name:
         raise MalformedError(f"{at}.name is empty or holds a slash: {name!r}")
@@ -76,7 +84,7 @@
         if isinstance(one, bool) or not isinstance(one, int):
             raise MalformedError(f"{at}.destinations holds no whole number: {one!r}")
     if "trunks" not in told:
-        raise MalformedError(f"{at}.trunks is missing")
+        raise MissingError(f"{at}.trunks is missing")
     bounds = {"trunks": (1, 0, 100_000), "share": (1.0, 0.0, 1.0)}
     figures = figures_of(told, at, bounds)
     reserve = told.get("reserve", {})
@@ -89,28 +97,15 @@
     return TrunkGroup(name, tuple(destinations), figures["trunks"] * figures["share"], levels)
 
 
-class Trunks(Part):
-    """The record of traffic, in the store, and the reservation ahead of the decisions."""
+class TrunksSettings(Kind):
+    """What the file of this part may say."""
 
     name, variable, lasting = "trunks", "LEADSLIP_TRUNKS", "trunks.measure"
     settings = staticmethod(settings)
-    reservation = None
 
     @staticmethod
     def fixed(conf: TrunksConfig) -> object:
         return conf.measure, conf.interval_s
 
-    def watch(self, watches: dict[str, list[Watcher]]) -> None:
-        if self.conf.measure:
-            self.node.parts["store"].keeper.measure(self.conf, [watches["sip"], watches["dns"]])
 
-    def filters(self) -> list[Filter]:
-        if not any(group.reserve for group in self.conf.groups):
-            return []
-        from leadslip.trunks.reservation import Reservation
-
-        self.reservation = Reservation(self.conf.groups, self.reservation)
-        return [self.reservation]
-
-
-PART = Trunks
+KIND = TrunksSettings
--- a/leadslip/shares/problem.py
+++ b/leadslip/shares/problem.py
@@ -29,12 +29,17 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from leadslip.errors import OperatorError
+
 MOST = 100_000.0
 KEYS = ("shed", "survive_one", "class", "server", "district", "delay")
 
 
-class ProblemError(Exception):
-    """A problem that makes no sense; the text names the key."""
+class ProblemError(OperatorError):
+    """A problem of planned shares makes no sense; the text names the key."""
+
+    code, status = "shares.problem", 400
+    action = "Correct the key named in the problem's file and ask again."
 
 
 @dataclass(frozen=True, slots=True)
--- a/leadslip/shares/solve.py
+++ b/leadslip/shares/solve.py
@@ -15,22 +15,29 @@
 import highspy
 import numpy as np
 
+from leadslip.errors import OperatorError
 from leadslip.shares.problem import Problem
 
 SLACK = 1e-7  # by which an earlier goal may be missed while a later one is sought
 GOLDEN = (math.sqrt(5.0) - 1.0) / 2.0  # spreads the weights of the last goal
 
 
-class RefusedError(Exception):
-    """There is no plan; `conflict` names the constraints of which any one would have to go."""
+class RefusedError(OperatorError):
+    """There is no plan of shares; `conflict` names the constraints of which any one would have to go."""
+
+    code, status = "shares.no-plan", 409
+    action = "Loosen one of the constraints named; any one of them is enough."
 
     def __init__(self, conflict: Sequence[str]) -> None:
         super().__init__("no plan keeps all of: " + "; ".join(conflict))
         self.conflict = tuple(conflict)
 
 
-class OutOfTimeError(Exception):
-    """The time was over before there was a plan: the last good one is to be kept."""
+class OutOfTimeError(OperatorError):
+    """The time was over before there was a plan of shares: the last good one is to be kept."""
+
+    code, status = "shares.out-of-time", 503
+    action = "Allow more seconds, or fewer servers for each district."
 
 
 @dataclass(frozen=True, slots=True)
--- a/leadslip/store/base.py
+++ b/leadslip/store/base.py
@@ -18,6 +18,8 @@
 
 import apsw
 
+from leadslip.errors import OperatorError
+
 APPLICATION = 0x6C736C70  # "lslp", in the file's head
 BUSY_MS = 2000  # a reader of another process may hold the file for a moment
 PAGE = 4096
@@ -41,8 +43,13 @@
 )
 
 
-class StoreError(Exception):
-    """A store that can't be used: the text says which file and why."""
+class StoreError(OperatorError):
+    """A store can't be used: the text says which file and why."""
+
+    code = "store.unusable"
+    action = (
+        "Name another file, or put this one right from a copy; the proxy goes on without what it would keep."
+    )
 
 
 @dataclass(frozen=True, slots=True)
--- a/leadslip/trunks/busyhour.py
+++ b/leadslip/trunks/busyhour.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 from statistics import fmean, median
 
+from leadslip.trunks.losses import LossError
 from leadslip.trunks.traffic import Interval
 
 QUARTER_S, DAY_S = 900, 86_400
@@ -97,7 +98,7 @@
 def busy_hour(quarters: Iterable[Interval], kind: str = "tcbh") -> BusyHour | None:
     """The busy hour of one group's quarters; None where no hour was measured in full."""
     if kind not in ("tcbh", "adph"):
-        raise ValueError(f"busy-hour must be tcbh or adph: {kind!r}")
+        raise LossError(f"busy-hour must be tcbh or adph: {kind!r}")
     days, gaps = days_of(quarters)
     apart = surges_of(days)
     common = [day for day in days if day.start_s not in apart]
--- a/leadslip/trunks/losses.py
+++ b/leadslip/trunks/losses.py
@@ -13,6 +13,8 @@
 import math
 from collections.abc import Callable
 
+from leadslip.errors import OperatorError
+
 MOST_TRUNKS = 100_000
 LEAST_LOAD, MOST_LOAD = 1e-6, 1e5
 EPSILON = 1e-15
@@ -21,8 +23,11 @@
 HALVINGS = 200  # more than a double has bits between any two bounds
 
 
-class LossError(ValueError):
-    """A figure outside what the formulas are for; the text names it."""
+class LossError(OperatorError, ValueError):
+    """A figure lies outside what the loss formulas are for; the text names it."""
+
+    code, status = "trunks.figure", 400
+    action = "Ask for a figure within the bounds named."
 
 
 def check(name: str, value: float, least: float, most: float) -> float:
--- a/leadslip/trunks/plan.py
+++ b/leadslip/trunks/plan.py
@@ -23,6 +23,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
+from leadslip.errors import OperatorError
 from leadslip.trunks import sizing
 from leadslip.trunks.losses import LEAST_LOAD, MOST_LOAD, LossError
 
@@ -44,8 +45,11 @@
 )
 
 
-class PlanError(Exception):
-    """A plan that makes no sense; the text names the key."""
+class PlanError(OperatorError):
+    """A plan of trunk groups makes no sense; the text names the key."""
+
+    code, status = "trunks.plan", 400
+    action = "Correct the key named in the plan's file and ask again."
 
 
 @dataclass(frozen=True, slots=True)
--- a/leadslip/trunks/reservation.py
+++ b/leadslip/trunks/reservation.py
@@ -16,7 +16,7 @@
 
 if TYPE_CHECKING:
     from leadslip.core import Request
-    from leadslip.parts.trunks import TrunkGroup
+    from leadslip.parts.trunks.settings import TrunkGroup
 
 HOLD_WEIGHT = 0.05  # of the latest call in the smoothed holding time
 MOST_HOLD_MS = 3_600_000.0  # a call longer than this tells nothing of when trunks come free
--- a/tests/test_configure.py
+++ b/tests/test_configure.py
@@ -6,7 +6,7 @@
 import pytest
 
 from leadslip import config, configure, parts
-from leadslip.parts.logs import LogsConfig
+from leadslip.parts.logs.settings import LogsConfig
 
 SOURCE = (configure.Path(__file__).parent.parent / "example" / "applications.toml").read_text()
 
--- a/tests/test_enum.py
+++ b/tests/test_enum.py
@@ -16,7 +16,7 @@
 from leadslip.core import Deadlines, Engine
 from leadslip.net import enum
 from leadslip.net.links import MessageError
-from leadslip.parts import enum as enum_part
+from leadslip.parts.enum import settings as enum_part
 from tests.standins import HOST, Program, Resolver, ask, ask_many, query, reply
 from tests.test_links import Transport
 
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -18,7 +18,7 @@
 from leadslip.drill import check, scenario
 from leadslip.drill.scenario import Act, Fault, Scenario
 from leadslip.parts import Around
-from leadslip.parts import fleet as part
+from leadslip.parts.fleet import settings as part
 from tests.standins import HOST, ROOT, Program
 
 PATIENT_S = 60.0
--- a/tests/test_trunks.py
+++ b/tests/test_trunks.py
@@ -11,7 +11,7 @@
 from leadslip.checks import Tally
 from leadslip.filters import Chain
 from leadslip.logs import silent
-from leadslip.parts.trunks import TrunkGroup
+from leadslip.parts.trunks.settings import TrunkGroup
 from leadslip.trunks import busyhour, losses, plan, sizing
 from leadslip.trunks.reservation import Reservation, advised
 from leadslip.trunks.traffic import MOST_CELLS, Interval, Traffic, rolled
