Agreed settings wired: voters founded, learners, in force within a stated time, drills

Change: a proxy's part without I/O (member.py), other parts' messages carried by the fleet's transport (wire version 3), a thread for a voter's disk, a filter, operators' calls, the agreement in the lab and in drills with A1 to A3.

--- a/leadslip/cli/drill.py
+++ b/leadslip/cli/drill.py
@@ -39,7 +39,7 @@
         return await Drill(scenario, seed, folder, acts, broken).run()
 
     told = asyncio.run(whole())
-    breaches, figures = judge.check(folder, scenario.settle_s)
+    breaches, figures = judge.check(folder, scenario.settle_s, scenario.in_force_ms)
     return {
         "title": scenario.title,
         "seed": seed,
--- a/leadslip/core.py
+++ b/leadslip/core.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections import deque
+from dataclasses import replace
 from typing import Protocol
 
 from leadslip import interface as face
@@ -85,6 +86,8 @@
         self.open: dict[str, Request] = {}
         self.standing: dict[str, Request] = {}
         self.states: dict[str, face.ServerState] = {}
+        self.entries: dict[str, face.ListEntry] = {}  # as the list tells them
+        self.off: frozenset[str] = frozenset()  # servers that operators hold off
         self.told_ms: dict[str, float] = {}  # when a server was told to drain or be gone
         self.events: deque[face.Event] = deque()
         self.feeding = False
@@ -109,6 +112,7 @@
 
     def news(self, news: face.ListNews) -> None:
         """Take news of the server list; what drains is remembered for the drain rule."""
+        news = self._masked(news)
         if news.kind is not face.NewsKind.CHANGES:
             listed = {entry.server for entry in news.entries}
             for server in self.states.keys() - listed:
@@ -122,6 +126,32 @@
                 del self.told_ms[server], self.states[server]
         self._feed(news)
 
+    def _masked(self, news: face.ListNews) -> face.ListNews:
+        """The news as they count here: a server that is held off drains, whatever the list tells."""
+        if news.kind is not face.NewsKind.CHANGES:
+            self.entries.clear()
+        for entry in news.entries:
+            if entry.state is face.ServerState.GONE:
+                self.entries.pop(entry.server, None)
+            else:
+                self.entries[entry.server] = entry
+        if not self.off:
+            return news
+        told = (
+            replace(entry, state=face.ServerState.DRAINING)
+            if entry.server in self.off and entry.state is face.ServerState.READY
+            else entry
+            for entry in news.entries
+        )
+        return replace(news, entries=tuple(told))
+
+    def hold(self, servers: frozenset[str]) -> None:
+        """Send nothing new to these servers, and to those held off before again."""
+        changed, self.off = servers ^ self.off, servers
+        entries = tuple(self.entries[name] for name in sorted(changed) if name in self.entries)
+        if entries:
+            self.news(face.ListNews(face.NewsKind.CHANGES, entries))
+
     def _state(self, server: str, state: face.ServerState) -> None:
         if state is face.ServerState.READY:
             self.told_ms.pop(server, None)
--- a/leadslip/drill/broken.py
+++ b/leadslip/drill/broken.py
@@ -1,4 +1,4 @@
-"""Views with one fault each, to prove that the checker sees it, and one that is a version behind.
+"""Views and agreements with one fault each, to prove that the checker sees it, and a view that is a version behind.
 
 For drills of debug builds only (parts/fleet.py).
 """
@@ -6,11 +6,14 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Sequence
 from dataclasses import replace
 
 import msgspec
 
 from leadslip.fleet import wire
+from leadslip.fleet.agreement.member import Agreement, Rules
+from leadslip.fleet.agreement.raft import Raft
 from leadslip.fleet.view.members import Member, State, Table
 from leadslip.fleet.view.view import Me, View
 
@@ -95,4 +98,34 @@
         return [msgspec.structs.replace(one, edition=0) for one in members]
 
 
+class Timeless(Agreement):
+    """Acts on what it holds however long ago it was vouched for (breaks A2)."""
+
+    def in_force(self, now_ms: float) -> Rules:
+        return self.rules if self.rules is not None else self.alone
+
+
+class Headstrong(Agreement):
+    """Commits, as a leader, what it alone holds, and leads on without a majority (breaks A1 and A3)."""
+
+    def _begin(self, now_ms: float) -> None:
+        super()._begin(now_ms)
+        self.raft.__class__ = HeadstrongRaft
+
+
+class HeadstrongRaft(Raft):
+    """A majority of one."""
+
+    def _majority(self, of: Sequence[str]) -> bool:
+        return bool(of)
+
+    def _advance(self, now_ms: float) -> None:
+        if self.durable_index > self.committed:
+            self._commit(self.durable_index)
+
+    def _confirm(self, now_ms: float) -> None:
+        self.confirmed_ms, self.confirmed_index = now_ms, self.committed
+
+
+AGREEMENTS = {"timeless": Timeless, "headstrong": Headstrong}
 KINDS = {"deaf": Deaf, "apart": Apart, "forgiving": Forgiving, "waiting": Waiting, "former": Former}
--- a/leadslip/drill/check.py
+++ b/leadslip/drill/check.py
@@ -3,6 +3,9 @@
 V1: no live, reachable, unstalled member is dead in a reachable, unstalled member's view for over two seconds.
 V2: once faults end, all that live hold one digest within the settling time.
 V3: a run that was declared dead never counts as that run again, at whoever held it dead.
+A1: no two act on different contents under one revision, and revisions only grow at a process.
+A2: nobody acts on a revision for longer than the stated time after another has begun to act on a newer one.
+A3: what was acknowledged to an operator is in what the voters hold in the end, while a majority keeps its disk.
 C1: one final answer a call, in time, where the called process was neither killed, stopped nor sent out of service.
 """
 
@@ -52,10 +55,73 @@
     return histories, json.loads((folder / "faults.json").read_text())
 
 
-def check(folder: Path, settle_s: float) -> tuple[list[Breach], dict[str, float]]:
+def check(folder: Path, settle_s: float, in_force_ms: float = 0.0) -> tuple[list[Breach], dict[str, float]]:
     """All breaches, and figures: how long views took to settle, the longest wrong end, calls judged."""
     histories, faults = records(folder)
-    return judge(histories, faults, json.loads((folder / "calls.json").read_text()), settle_s)
+    breaches, figures = judge(histories, faults, json.loads((folder / "calls.json").read_text()), settle_s)
+    if (folder / "settings.json").exists():
+        settings = json.loads((folder / "settings.json").read_text())
+        found, told = agreement(histories, faults, settings, in_force_ms)
+        breaches += found
+        figures |= told
+    return breaches, figures
+
+
+def agreement(
+    histories: dict[str, list[dict]], faults: list[dict], settings: dict, in_force_ms: float
+) -> tuple[list[Breach], dict[str, float]]:
+    """A1 to A3, and how near the longest contradiction came to the stated time."""
+    breaches: list[Breach] = []
+    contents: dict[int, tuple[str, str]] = {}
+    spans: list[
+        tuple[int, str, Span]
+    ] = []  # a revision acted on, by whom, from when to when it was last used
+    for start, told in histories.items():
+        acts = [one for one in told if one["do"] == "acts"]
+        latest = 0
+        for i, one in enumerate(acts):
+            last_ms = acts[i + 1]["until_ms"] if i + 1 < len(acts) else one["mono_ms"]
+            if not one["agreed"]:
+                continue
+            revision, mark = one["revision"], one["mark"]
+            first, by = contents.setdefault(revision, (mark, start))
+            if mark != first:
+                told_of = f"revision {revision} is {mark}, and {first} at {by}"
+                breaches.append(Breach("A1", one["mono_ms"], start, told_of))
+            if revision < latest:
+                breaches.append(
+                    Breach("A1", one["mono_ms"], start, f"back from revision {latest} to {revision}")
+                )
+            latest = max(latest, revision)
+            spans.append((revision, start, Span(one["mono_ms"], max(last_ms, one["mono_ms"]))))
+    longest = 0.0
+    for revision, start, span in spans:
+        newer = [other.begin_ms for number, _, other in spans if number > revision]
+        over_ms = span.end_ms - min(newer, default=NO_END)
+        longest = max(longest, over_ms)
+        if over_ms > in_force_ms:
+            told_of = f"acts on revision {revision} {over_ms:.0f} ms after a newer one is acted on"
+            breaches.append(Breach("A2", span.end_ms, start, told_of))
+    voters = [one for one in settings["held"].values() if one["voter"] and one["voter"]["role"] == "leader"]
+    leader = max(voters, key=lambda one: one["voter"]["term"], default=None)
+    known = {one["id"] for one in leader["history"]} if leader is not None else set()
+    # An answer that was cut short tells no revision: nobody can hold it against anyone.
+    acknowledged = [one for one in settings["changes"] if one["status"] == 200 and one.get("revision")]
+    oldest = min((one["revision"] for one in leader["history"]), default=0) if leader is not None else 0
+    for one in acknowledged:
+        if one["revision"] >= oldest and one["id"] not in known:
+            told_of = f"{one['id']}, acknowledged as revision {one['revision']}, is gone"
+            breaches.append(Breach("A3", ended_at(faults), one["proxy"], told_of))
+    held = {(one["revision"], one["in_force"]) for one in settings["held"].values()}
+    if len(held) != 1 or next(iter(held))[1] != "agreed":
+        told_of = f"in the end they act on {sorted(held)}"
+        breaches.append(Breach("A2", ended_at(faults), ", ".join(settings["held"]), told_of))
+    figures = {
+        "acknowledged": float(len(acknowledged)),
+        "revisions_acted_on": float(len(contents)),
+        "contradiction_per_cent": 100.0 * longest / in_force_ms,
+    }
+    return breaches, figures
 
 
 def judge(
--- a/leadslip/drill/run.py
+++ b/leadslip/drill/run.py
@@ -22,6 +22,7 @@
 import msgspec
 
 from leadslip.drill.callers import VALID_MS, Caller
+from leadslip.drill.changes import Changer
 from leadslip.drill.clocks import Clocks
 from leadslip.drill.relay import PORT, Relay, Ways
 from leadslip.drill.scenario import Act, Scenario, draw_schedule, drifts, formers, names
@@ -119,6 +120,7 @@
         environ = {
             key: value for key, value in os.environ.items() if not key.startswith(("LEADSLIP", "NODE"))
         }
+        environ |= self.agreement(folder)
         environ |= {"NODE_CONFIG": str(folder / "config.json"), "LEADSLIP_FLEET": str(folder / "fleet.toml")}
         program = ["leadslip"]
         if drill.sets_clocks:
@@ -135,18 +137,37 @@
         history = drill.folder / f"{own}.jsonl"
         return drill.begun(f"start{' beside' if beside else ''}, done", self.name, process, history)
 
-    async def called(self, method: bytes, path: bytes) -> bytes:
-        """The body that its newest process answers an operator; nothing where it does not."""
+    def agreement(self, folder: Path) -> dict[str, str]:
+        """The file that makes it agree, where the scenario has voters; a voter's disk outlives its processes."""
+        scenario = self.drill.scenario
+        if not scenario.voters:
+            return {}
+        told = {
+            "enabled": True,
+            "voters": list(self.drill.processes)[: scenario.voters],
+            "disk": str(self.drill.folder / f"{self.name}.db"),
+            "in_force_ms": scenario.in_force_ms,
+        }
+        (folder / "agreement.toml").write_text("".join(f"{k} = {json.dumps(v)}\n" for k, v in told.items()))
+        return {"LEADSLIP_AGREEMENT": str(folder / "agreement.toml")}
+
+    async def asked(self, method: bytes, path: bytes, body: bytes = b"") -> tuple[int, bytes]:
+        """What its newest process answers an operator: status and body; 0 and nothing where it does not."""
         if not self.running:
-            return b""
+            return 0, b""
         try:
             reader, writer = await asyncio.open_connection(self.ip, self.ops[self.running[-1].pid])
-            writer.write(method + b" /control/" + path + b" HTTP/1.1\r\nHost: drill\r\n\r\n")
+            head = b"%s /control/%s HTTP/1.1\r\nHost: drill\r\nContent-Length: %d\r\n\r\n"
+            writer.write(head % (method, path, len(body)) + body)
             answer = await asyncio.wait_for(reader.read(), 5.0)
             writer.close()
-            return answer.partition(b"\r\n\r\n")[2]
+            return int(answer[9:12] or 0), answer.partition(b"\r\n\r\n")[2]
         except (OSError, TimeoutError):
-            return b""
+            return 0, b""
+
+    async def called(self, method: bytes, path: bytes) -> bytes:
+        """The body alone."""
+        return (await self.asked(method, path))[1]
 
     async def view(self) -> dict | None:
         """What its newest process tells of the fleet."""
@@ -238,10 +259,13 @@
         (folder / "schedule.json").write_bytes(msgspec.json.encode({"seed": self.seed, "acts": self.acts}))
         toy, ports = await start_toy()
         relays, callers, tasks = [], [], []
+        changer = None
         try:
             self.toy = await ports
             for i, name in enumerate(names(scenario.processes)):
                 self.processes[name] = Process(self, name, i)
+            if scenario.voters:
+                changer = Changer(list(self.processes), scenario.changes_per_s, self.seed, self.ask)
             name_of = {one.ip: one.name for one in self.processes.values()}
             for one in self.processes.values():
                 relay = Relay(self.ways, one.name, one.relay_ip, one.ip, name_of)
@@ -251,18 +275,24 @@
             if not await self.agreed(READY_S):
                 raise DrillError("the processes did not come to know one another")
             self.note("agreed")
+            if changer is not None and not await changer.first(READY_S):
+                raise DrillError("the voters did not agree on the first change")
             rate = scenario.calls_per_s / scenario.processes
             callers = [
                 Caller(one.name, (one.ip, SIP), rate, self.seed * 1000 + i)
                 for i, one in enumerate(self.processes.values())
             ]
             tasks = [asyncio.create_task(caller.run()) for caller in callers]
+            if changer is not None:
+                tasks.append(asyncio.create_task(changer.run()))
             await self.play()
             self.note("faults over")
             settled = await self.agreed(scenario.settle_s)
             self.note("settled" if settled else "not settled")
             for task in tasks:
                 task.cancel()
+            if changer is not None:
+                await self.read_settings(changer, scenario.settle_s)
             await asyncio.sleep(VALID_MS / 1000.0 + 0.2)  # what was called last is answered by then
         finally:
             tasks += [one.hopping for one in self.processes.values() if one.hopping is not None]
@@ -280,6 +310,26 @@
             (folder / "calls.json").write_text(json.dumps(calls))
         return {"settled": settled, "calls": len(calls)}
 
+    async def ask(self, name: str, method: bytes, path: bytes, body: bytes) -> tuple[int, bytes]:
+        """An operator's call at a process by its name."""
+        return await self.processes[name].asked(method, path, body)
+
+    async def read_settings(self, changer: Changer, most_s: float) -> None:
+        """What all that run hold in the end: one revision in force, or whatever it is when the wait is over."""
+        until = time.monotonic() + most_s
+        while True:
+            alive = [one for one in self.processes.values() if one.running]
+            told = {}
+            for one in alive:
+                with contextlib.suppress(ValueError):
+                    told[one.name] = json.loads(await one.called(b"GET", b"settings"))
+            held = {(one["revision"], one["in_force"]) for one in told.values()}
+            same = len(held) == 1 and len(told) == len(alive) and next(iter(held))[1] == "agreed"
+            if same or time.monotonic() > until:
+                break
+            await asyncio.sleep(0.1)
+        (self.folder / "settings.json").write_text(json.dumps({"held": told, "changes": changer.changes}))
+
     async def play(self) -> None:
         """Do each act at its time."""
         began = time.monotonic()
--- a/leadslip/drill/scenario.py
+++ b/leadslip/drill/scenario.py
@@ -73,6 +73,9 @@
     former: int = 0  # so many processes speak the wire version before this one
     drift_ppm: float = 0.0  # monotonic clocks run so much too fast or too slow, at the most
     most_processes: int = 100
+    voters: int = 0  # so many of the first processes vote on agreed documents; 0: nothing is agreed on
+    changes_per_s: float = 1.0  # by operators, where there are voters
+    in_force_ms: float = 2000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,6 +100,8 @@
         raise ScenarioError(f"{path}: {fault}") from fault
     if not 2 <= told.processes <= told.most_processes:
         raise ScenarioError(f"{path}: processes must lie between 2 and {told.most_processes}")
+    if not 0 <= told.voters <= told.processes:
+        raise ScenarioError(f"{path}: voters must lie between 0 and {told.processes}")
     if not 0 <= told.former <= told.processes:
         raise ScenarioError(f"{path}: former must lie between 0 and {told.processes}")
     if not 0 <= told.drift_ppm <= MOST_DRIFT_PPM:
--- a/leadslip/fleet/agreement/documents.py
+++ b/leadslip/fleet/agreement/documents.py
@@ -213,6 +213,10 @@
         documents = {name: read(name, body) for name, body in (self.bodies | proposal.bodies).items() if body}
         isolated = documents.pop("isolated", Isolated())
         told = contradiction(isolated, documents)
+        if not told and "isolated" in self.bodies:
+            # Guards against proxies that still act on the isolated rules of before: those count for this change, too.
+            told = contradiction(read("isolated", self.bodies["isolated"]), documents)
+            told = told and f"{told} as it is now: change isolated first, by itself"
         if told:
             raise RefusedError(told)
 
--- a/leadslip/fleet/agreement/raft.py
+++ b/leadslip/fleet/agreement/raft.py
@@ -372,7 +372,9 @@
         self.rounds.clear()
         self.confirmed_ms = -float("inf")
         self.heir = ""
-        self._put(Kind.NOTHING, b"")
+        # The very first leader writes the list of voters into the log: who comes blank later finds it there.
+        first = not self.snapshot.index and all(entry.kind != Kind.VOTERS for entry in self.entries)
+        self._put(*((Kind.VOTERS, msgspec.msgpack.encode(self.voters)) if first else (Kind.NOTHING, b"")))
         self.own_index = self.last_index
         self._lead_on(now_ms)
         self._advance(now_ms)
@@ -538,9 +540,9 @@
         """(index, age): so long ago nothing behind this index was committed anywhere; None where we can't tell.
 
         A leader's answer: a majority has answered a round begun then, so no other could have been elected before.
-        It holds once an entry of its own term is committed: before that, it may not know what is.
+        It holds of rounds begun when an entry of its own term was committed: before that, it may not know what is.
         """
-        if self.role is not Role.LEADER or self.committed < self.own_index:
+        if self.role is not Role.LEADER or self.confirmed_index < self.own_index:
             return None
         return self.confirmed_index, now_ms - self.confirmed_ms
 
@@ -576,6 +578,10 @@
         self._advance(now_ms)
         return index
 
+    def settled(self) -> bool:
+        """Whether no change of the voters is on its way."""
+        return all(entry.kind != Kind.VOTERS or entry.index <= self.committed for entry in self.entries)
+
     def transfer(self, now_ms: float, to: str) -> None:
         """Hand the lead over, once `to` holds all we do. Raises RaftError."""
         self._must_lead()
--- a/leadslip/fleet/view/view.py
+++ b/leadslip/fleet/view/view.py
@@ -36,7 +36,7 @@
 from leadslip.fleet.view.rumours import SHORT_SIZE, Rumours
 from leadslip.fleet.view.suspicion import OTHERS_MS, Health, Suspicion
 
-ROOM = wire.MOST_DATAGRAM - wire.SEAL_SIZE - 130  # bytes of a datagram left for news
+ROOM = wire.MOST_DATAGRAM - wire.SEAL_SIZE - 155  # bytes of a datagram left for news
 AGAIN_MS = 250.0  # between two pings of one who is suspected
 AGAIN_RATE, AGAIN_RATE_MANY = (
     0.012,
@@ -139,6 +139,9 @@
         self.reborn: list[
             Callable[[int], None]
         ] = []  # told of our new run when the one before was declared dead
+        # What is vouched for rides on answers: ours, as of now, and what another told in answer to a ping sent then.
+        self.vouch: Callable[[float], list[int]] = lambda now_ms: []
+        self.vouched_by: Callable[[int, float, list[int]], None] = lambda run, sent_ms, told: None
         self.table = Table(most_members, tally)
         self.table.tell = self._changed
         self.rumours, self.health, self.heard = Rumours(), Health(), wire.Heard()
@@ -311,6 +314,7 @@
             self.table.live_digest,
             short,
             full,
+            vouched=self.vouch(now_ms),
         )
 
     def _acked(self, now_ms: float, ack: wire.Ack) -> None:
@@ -349,6 +353,8 @@
             return
         self._judged(now_ms, ack, probe.sent_ms)
         self._differing(now_ms, ack)
+        if ack.vouched:
+            self.vouched_by(ack.run, probe.sent_ms, ack.vouched)
 
     def _judged(self, now_ms: float, ack: wire.Ack, sent_ms: float) -> None:
         """Another has told how it holds us, in answer to a ping sent then; if it is about the life we live."""
--- a/leadslip/fleet/wire.py
+++ b/leadslip/fleet/wire.py
@@ -11,7 +11,7 @@
 
 Versions: what follows the version byte is read by the rules of that version. Two members speak the newest that both
 know; who is not known yet is spoken to in the oldest. 2 added the edition of a member's facts to 1, and deflates
-frames and shortens the digests in them.
+frames and shortens the digests in them. 3 added `Carried`, and what an answer vouches for.
 
 Replay: a message names the run it is for and carries a count that its sender uses once. What was recorded before a
 receiver's start is for another run; what was heard before is known by its count (`Heard`).
@@ -30,7 +30,7 @@
 
 from leadslip.errors import OperatorError
 
-VERSION = 2  # the newest that this program speaks; the oldest is LEAST
+VERSION = 3  # the newest that this program speaks; the oldest is LEAST
 LEAST = 1
 MAC_SIZE = 16
 SEAL_SIZE = 2 + MAC_SIZE
@@ -112,6 +112,7 @@
     news: list[Short] = []
     full: list[Full] = []
     of: int = 0  # whose answer this passes on; 0: the sender's own
+    vouched: list[int] = []  # the newest revision known, its age in ms, a mark of its contents; empty: none
 
 
 class AskPing(Message, tag=3, frozen=True):
@@ -161,7 +162,15 @@
     differ: list[int] = []
 
 
-Any = Ping | Ack | AskPing | Nack | Gossip | Hello | SyncAsk | SyncTable
+class Carried(Message, tag=9, frozen=True):
+    """A message of another part of the fleet, whole in `body`; `token` is 0 in a datagram."""
+
+    token: int
+    part: str
+    body: bytes
+
+
+Any = Ping | Ack | AskPing | Nack | Gossip | Hello | SyncAsk | SyncTable | Carried
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Any)
--- a/leadslip/lab/fleet.py
+++ b/leadslip/lab/fleet.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable, Iterable
 from random import Random
+from typing import Protocol
 
 from leadslip.checks import Tally
 from leadslip.fleet import wire
@@ -20,6 +21,17 @@
 KEY = b"the key of the lab"
 
 
+class Party(Protocol):
+    """A further part of the fleet on a host, as net/peers.py carries it."""
+
+    out: list[tuple[int, bytes]]
+    wake_ms: float
+
+    def received(self, now_ms: float, run: int, body: bytes) -> None: ...
+
+    def due(self, now_ms: float) -> None: ...
+
+
 class Host:
     """One member: its view, whether it runs, and what waited while it was stopped."""
 
@@ -49,6 +61,7 @@
         self.inbox: list[bytes] = []
         self.wakes_ms = float("inf")
         self.view.listeners.append(self.changed)
+        self.parties: dict[str, Party] = {}  # further parts of the fleet on this host
 
     @property
     def now_ms(self) -> float:
@@ -68,14 +81,50 @@
         except wire.WireError as fault:
             self.fleet.tally.add(f"fleet.refused.{fault}")
             return
-        self.view.received(self.now_ms, message)
+        if isinstance(message, wire.Carried):
+            self.carried(message)
+        else:
+            self.view.received(self.now_ms, message)
         self.flush()
 
+    def carried(self, message: wire.Carried) -> None:
+        """As net/peers.py does: for the life that is lived, of a member that lives."""
+        held = self.view.table.get(message.run)
+        if message.to != self.view.run or held is None or not held.live or held.run != message.run:
+            return
+        if message.part in self.parties and self.view.heard.fresh(message.run, message.count):
+            self.parties[message.part].received(self.now_ms, message.run, message.body)
+
+    def carry(self, part: str, run: int, body: bytes) -> None:
+        """A datagram where it fits; else over a connection, in one piece."""
+        held = self.view.table.get(run)
+        if held is None or not held.live or self.view.version_for(run) < 3:
+            return
+        message = wire.Carried(next(self.view.counts), self.view.run, run, 0, part, body)
+        data = self.seal.close(wire.encode(message), 3)
+        network = self.fleet.network
+        if len(data) <= wire.MOST_DATAGRAM:
+            network.send(self.address, held.address, data)
+            return
+
+        def brought() -> int:
+            taker = network.hosts.get(held.address)
+            if taker is not None:
+                taker(data)
+            return len(data)
+
+        network.connect(self.address, held.address, brought)
+
     def wake(self) -> None:
         if not self.up or self.stalled or self.now_ms < self.wakes_ms - EARLY_MS:
             return
         self.wakes_ms = float("inf")
-        self.view.due(max(self.now_ms, self.view.wake_ms))
+        now_ms = self.now_ms
+        if now_ms >= self.view.wake_ms - EARLY_MS:
+            self.view.due(max(now_ms, self.view.wake_ms))
+        for party in self.parties.values():
+            if now_ms >= party.wake_ms - EARLY_MS:
+                party.due(max(now_ms, party.wake_ms))
         self.flush()
 
     def flush(self) -> None:
@@ -87,10 +136,22 @@
             else:
                 data = self.seal.close(wire.encode(one.message), self.view.version_for(one.message.to))
                 self.fleet.network.send(self.address, one.address, data)
-        if self.view.wake_ms < self.wakes_ms:
-            self.wakes_ms = self.view.wake_ms
+        for name, party in self.parties.items():
+            told, party.out = party.out, []
+            for run, body in told:
+                self.carry(name, run, body)
+            self.after(name)
+        wake_ms = min([self.view.wake_ms, *(party.wake_ms for party in self.parties.values())])
+        if wake_ms < self.wakes_ms:
+            self.wakes_ms = wake_ms
             self.fleet.clock.at(self.wakes_ms / self.rate, self.wake)
 
+    def after(self, name: str) -> None:
+        """A part has had something to do."""
+        work = self.fleet.afters.get(name)
+        if work is not None:
+            work(self)
+
     def stall(self, for_ms: float) -> None:
         if self.up and not self.stalled:
             self.stalled = True
@@ -110,6 +171,8 @@
         self.stalled = False
         self.wakes_ms = float("inf")  # what was due meanwhile has passed unseen
         self.view.due(self.now_ms)
+        for party in self.parties.values():
+            party.due(self.now_ms)
         self.flush()
         waited, self.inbox = self.inbox, []
         for data in waited[-500:]:
@@ -125,6 +188,9 @@
         self.clock = Clock()
         self.network = Network(self.clock, Random(self.draw.getrandbits(64)))
         self.hosts: dict[str, Host] = {}
+        self.afters: dict[
+            str, Callable[[Host], None]
+        ] = {}  # a part -> what is done after it has done something
         self.ends: list[tuple[float, str, int, State]] = []  # when, at whom, which run, how it ended there
 
     def zone_of(self, name: str) -> int:
--- a/leadslip/net/ops.py
+++ b/leadslip/net/ops.py
@@ -92,6 +92,7 @@
     """Set what goes before the body; the body."""
     request.setResponseCode(answer.status)
     request.setHeader(b"content-type", answer.kind)
+    request.setHeader(b"content-length", b"%d" % len(answer.body))
     return answer.body
 
 
--- a/leadslip/net/peers.py
+++ b/leadslip/net/peers.py
@@ -1,4 +1,4 @@
-"""Members of the fleet: datagrams over UDP, comparisons of tables over TCP, at one number. Off unless configured.
+"""Members of the fleet: datagrams over UDP, what does not fit over TCP, at one number. Off unless configured.
 
 Brings what arrives to the View and sends what it gives; decides nothing. Others are reached at the address that they
 advertise and never at a datagram's source; outgoing connections leave from the IP of `listen`. Time is the system's
@@ -10,7 +10,9 @@
 import random
 import socket
 import time
-from typing import TYPE_CHECKING
+from collections import deque
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Protocol
 
 from twisted.internet import error, protocol
 from twisted.protocols.basic import Int32StringReceiver
@@ -28,6 +30,10 @@
 SESSION_MS = 3000.0  # a comparison takes so long at the most
 MOST_TAKEN, MOST_MADE = 16, 2  # comparisons under way that others began, and that we began
 MOST_ASK = 16 * 1024  # bytes of a frame, until its sender has shown that it holds the key
+MOST_CARRYING = 8  # connections under way that bring messages of other parts to others
+MOST_WAITING = 4 << 20  # bytes of such messages that may wait for one member
+MOST_BATCH = 1 << 20  # bytes of them that one connection brings
+CARRIED_ROOM = wire.MOST_DATAGRAM - wire.SEAL_SIZE - 60  # bytes of such a message that go as a datagram
 RECEIVE_BUFFER = 1 << 20  # bytes of datagrams that may wait while this process is busy or stopped
 
 
@@ -124,6 +130,8 @@
         elif isinstance(message, wire.SyncTable):
             self.peers.view.given(now_ms, message)
             self.transport.loseConnection()
+        elif isinstance(message, wire.Carried):
+            self.peers.carried(now_ms, message)
         else:
             raise wire.WireError("misplaced")
 
@@ -145,6 +153,100 @@
             raise wire.WireError("misplaced")
 
 
+class CarryLink(PeerLink):
+    """One that brings messages of other parts to a member; its taker's Hello is waited for, and nothing else."""
+
+    def __init__(self, peers: Peers, run: int) -> None:
+        super().__init__(peers)
+        self.run = run
+
+    def told(self, message: wire.Any, now_ms: float) -> None:
+        if not isinstance(message, wire.Hello):
+            raise wire.WireError("misplaced")
+        waiting, size = self.peers.outbox.get(self.run), 0
+        while waiting is not None and waiting.messages and size < MOST_BATCH:
+            part, body = waiting.next()
+            size += len(body)
+            view = self.peers.view
+            self.say(wire.Carried(next(view.counts), view.run, self.run, message.token, part, body))
+        self.transport.loseConnection()
+
+
+class CarryLinks(protocol.ClientFactory):
+    """Begins one of them."""
+
+    noisy = False
+
+    def __init__(self, peers: Peers, run: int) -> None:
+        self.peers, self.run = peers, run
+
+    def buildProtocol(self, addr: object) -> CarryLink:
+        return CarryLink(self.peers, self.run)
+
+    def clientConnectionFailed(self, connector: object, reason: object) -> None:
+        self.peers.carrying.discard(self.run)
+        self.peers.outbox.pop(self.run, None)  # lost, as datagrams are: each part sends anew what matters
+
+
+class Waiting:
+    """Messages of other parts that wait for a connection to one member."""
+
+    __slots__ = ("messages", "size")
+
+    def __init__(self) -> None:
+        self.messages: deque[tuple[str, bytes]] = deque()
+        self.size = 0
+
+    def next(self) -> tuple[str, bytes]:
+        part, body = self.messages.popleft()
+        self.size -= len(body)
+        return part, body
+
+
+class Party(Protocol):
+    """A part of the fleet whose messages are carried here; no I/O. It gives messages in `out`, each for a run."""
+
+    out: list[tuple[int, bytes]]
+    wake_ms: float
+
+    def received(self, now_ms: float, run: int, body: bytes) -> None:
+        """A member's message, signed and of a run that lives; what it holds is still to be checked."""
+
+    def due(self, now_ms: float) -> None:
+        """Do what is due; to be called at wake_ms, and no harm if sooner or later."""
+
+
+class Carrier:
+    """Brings one part's messages, and wakes it."""
+
+    def __init__(self, peers: Peers, name: str, party: Party, after: Callable[[], None]) -> None:
+        self.peers, self.name, self.party, self.after = peers, name, party, after
+        self.wake = None
+
+    def arrived(self, now_ms: float, run: int, body: bytes) -> None:
+        self.party.received(now_ms, run, body)
+        self.flush()
+
+    def due(self, _: object = None) -> None:
+        self.wake = None
+        if not self.peers.stopped:
+            self.party.due(self.peers.clock.now_ms())
+            self.flush()
+
+    def flush(self) -> None:
+        """Send what it gives, and be woken when it asks."""
+        party, peers = self.party, self.peers
+        if peers.stopped:
+            return
+        out, party.out = party.out, []
+        for run, body in out:
+            peers.carry(self.name, run, body)
+        self.after()
+        if self.wake is None or self.wake.work is None or party.wake_ms < self.wake.due_ms:
+            peers.deadlines.cancel(self.wake)
+            self.wake = peers.deadlines.at(party.wake_ms, self.due)
+
+
 class TakenLinks(protocol.Factory):
     """Takes comparisons, so many at a time."""
 
@@ -191,12 +293,19 @@
         self.draw = random.SystemRandom()
         self.taken: set[PeerLink] = set()
         self.making = 0
+        self.parts: dict[str, Carrier] = {}  # that messages are carried for, by name
+        self.outbox: dict[int, Waiting] = {}
+        self.carrying: set[int] = set()
         self.wake = None
         self.stopped = False
         self.datagrams = self.port = self.view = None
+        self.history: Callable[..., None] | None = None  # where a drill wants written what was done
+
+    def start(self, facts: Callable[[], dict[str, str | int]]) -> None:
+        """Bind both, TCP first, and join, `facts` telling of this member.
 
-    def start(self, facts: dict[str, str | int]) -> None:
-        """Bind both, TCP first, and join. Raises CannotListenError where the address can't be had."""
+        Raises CannotListenError where the address can't be had.
+        """
         host, number = self.conf.listen
         advertise = self.conf.advertise
         try:
@@ -209,13 +318,14 @@
         bound = self.port.getHost().port
         if advertise == self.conf.listen:
             advertise = (host, bound)
-        me = Me(self.name, "{}:{}".format(*advertise), self.conf.zone, facts)
+        me = Me(self.name, "{}:{}".format(*advertise), self.conf.zone, facts())
+        self.facts = facts
         seeds = tuple("{}:{}".format(*seed) for seed in self.conf.seeds)
         kind = View
         if self.conf.broken:
             from leadslip.drill.broken import KINDS
 
-            kind = KINDS[self.conf.broken]
+            kind = KINDS.get(self.conf.broken, View)
         # The view draws from a generator of its own; only its seed comes from the system.
         draw = random.Random(self.draw.getrandbits(64))
         self.view = kind(me, seeds, draw, self.tally, Pace(), self.conf.most_members)
@@ -223,7 +333,9 @@
         if self.conf.history:
             from leadslip.fleet import history
 
-            history.follow(self.view, history.to_file(self.conf.history))
+            keep = history.to_file(self.conf.history)
+            history.follow(self.view, keep)
+            self.history = lambda **told: keep(told)
         self.view.start(self.clock.now_ms())
         self.flush()
         self.log("fleet.serves", address=me.address, run=f"{self.view.run:016x}")
@@ -255,9 +367,59 @@
             return
         if self.stopped:
             return
-        self.view.received(self.clock.now_ms(), message)
+        now_ms = self.clock.now_ms()
+        if isinstance(message, wire.Carried):
+            if self.view.heard.fresh(message.run, message.count):
+                self.carried(now_ms, message)
+            else:
+                self.tally.add("fleet.replayed")
+            return
+        self.view.received(now_ms, message)
         self.flush()
 
+    def carried(self, now_ms: float, message: wire.Carried) -> None:
+        """A message for another part: only for the life we live, and of one that we hold alive."""
+        part, held = self.parts.get(message.part), self.view.table.get(message.run)
+        if part is None or message.to != self.view.run:
+            self.tally.add("fleet.for_another")
+        elif held is None or not held.live or held.run != message.run:
+            self.tally.add("fleet.of_no_member")
+        else:
+            part.arrived(now_ms, message.run, message.body)
+
+    def join(self, name: str, party: Party, after: Callable[[], None]) -> Carrier:
+        """Carry a part's messages from here on; `after` is called whenever it has had something to do."""
+        held = self.parts[name] = Carrier(self, name, party, after)
+        held.due()
+        return held
+
+    def carry(self, part: str, run: int, body: bytes) -> None:
+        """Bring another part's message to a member: as a datagram where it fits, else over TCP. It may be lost."""
+        held = self.view.table.get(run)
+        if self.stopped or held is None or not held.live or self.view.version_for(run) < 3:
+            self.tally.add("fleet.unsent")
+            return
+        if len(body) <= CARRIED_ROOM:
+            self._send(held.address, wire.Carried(next(self.view.counts), self.view.run, run, 0, part, body))
+            return
+        waiting = self.outbox.setdefault(run, Waiting())
+        if waiting.size + len(body) > MOST_WAITING:
+            self.tally.add("fleet.unsent")
+            return
+        waiting.messages.append((part, body))
+        waiting.size += len(body)
+        self._bring()
+
+    def _bring(self) -> None:
+        """Connect to those for whom messages wait, one connection to each and so many at a time."""
+        for run in list(self.outbox):
+            held = self.view.table.get(run)
+            if held is None or not held.live or not self.outbox[run].messages:
+                del self.outbox[run]
+            elif run not in self.carrying and len(self.carrying) < MOST_CARRYING:
+                self.carrying.add(run)
+                self._connect(held.address, CarryLinks(self, run))
+
     def flush(self) -> None:
         """Send what the view gives, and be woken when it asks."""
         if self.stopped:
@@ -271,6 +433,8 @@
         if self.wake is None or self.wake.work is None or self.view.wake_ms < self.wake.due_ms:
             self.deadlines.cancel(self.wake)
             self.wake = self.deadlines.at(self.view.wake_ms, self._due)
+        for part in self.parts.values():
+            part.flush()
 
     def _due(self, _: object = None) -> None:
         self.wake = None
@@ -292,27 +456,29 @@
         if self.making >= MOST_MADE:
             self.tally.add("fleet.sessions_waiting")
             return
-        host, _, port = address.rpartition(":")
         self.making += 1
-        self.reactor.connectTCP(
-            host,
-            int(port),
-            MadeLinks(self),
-            timeout=SESSION_MS / 1000.0,
-            bindAddress=(self.conf.listen[0], 0),
-        )
+        self._connect(address, MadeLinks(self))
+
+    def _connect(self, address: str, factory: protocol.ClientFactory) -> None:
+        host, _, port = address.rpartition(":")
+        bind = self.conf.listen[0], 0
+        self.reactor.connectTCP(host, int(port), factory, timeout=SESSION_MS / 1000.0, bindAddress=bind)
 
     def ended(self, link: PeerLink) -> None:
         """A comparison is over."""
         if link in self.taken:
             self.taken.discard(link)
+        elif isinstance(link, CarryLink):
+            self.carrying.discard(link.run)
+            if not self.stopped:
+                self._bring()
         else:
             self.making -= 1
 
-    def tell(self, facts: dict[str, str | int]) -> None:
-        """Spread other facts of this member."""
+    def tell_facts(self) -> None:
+        """Spread what is to be told of this member, if it has changed."""
         if self.view is not None and not self.stopped:
-            self.view.change_facts(self.clock.now_ms(), facts)
+            self.view.change_facts(self.clock.now_ms(), self.facts())
             self.flush()
 
     def rekey(self, keys: tuple[bytes, ...]) -> None:
--- a/leadslip/parts/__init__.py
+++ b/leadslip/parts/__init__.py
@@ -18,7 +18,8 @@
 if TYPE_CHECKING:
     from leadslip.parts.part import Part
 
-NAMES = ("logs", "otlp", "store", "trunks", "enum", "fleet")  # in the order in which they are read and wired
+# In the order in which they are read and wired.
+NAMES = ("logs", "otlp", "store", "trunks", "enum", "fleet", "agreement")
 
 
 @dataclass(slots=True)
--- a/leadslip/parts/fleet/part.py
+++ b/leadslip/parts/fleet/part.py
@@ -26,16 +26,19 @@
         node = self.node
         self.peers = Peers(node.reactor, self.conf, node.conf.name or "proxy", node.tally, node.log)
 
-    def facts(self) -> dict[str, str | int]:
-        """What this member spreads of itself."""
+    def all_facts(self) -> dict[str, str | int]:
+        """What this member spreads of itself, and what its other parts do."""
         node = self.node
-        return {"capacity": node.conf.most_held, "service": node.readiness.service(), "version": __version__}
+        told = {"capacity": node.conf.most_held, "service": node.readiness.service(), "version": __version__}
+        for part in node.parts.values():
+            told |= part.facts()
+        return told
 
     def start(self) -> None:
-        self.peers.start(self.facts())
+        self.peers.start(self.all_facts)
 
     def service(self, told: str) -> None:
-        self.peers.tell(self.facts())
+        self.peers.tell_facts()
 
     def retuned(self, conf: FleetConfig) -> None:
         """Keys may be replaced while the fleet runs."""
--- a/leadslip/parts/part.py
+++ b/leadslip/parts/part.py
@@ -45,6 +45,10 @@
     def watch(self, watches: dict[str, list[Watcher]]) -> None:
         """Add watchers of the engines, before these are made: `sip` for calls, `dns` for look-ups."""
 
+    def facts(self) -> dict[str, str | int]:
+        """What other members of the fleet are told of this one."""
+        return {}
+
     def filters(self) -> list[Filter]:
         """Filters ahead of the decisions, made anew at each reload."""
         return []
--- a/leadslip/trunks/reservation.py
+++ b/leadslip/trunks/reservation.py
@@ -8,7 +8,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from leadslip.filters import Refused
@@ -46,6 +47,7 @@
     name = "reservation"
 
     def __init__(self, limits: tuple[TrunkGroup, ...], before: Reservation | None = None) -> None:
+        self.limits = limits
         self.groups: dict[str, _Group] = {limit.name: _Group(limit) for limit in limits}
         self.by_destination = {
             destination: self.groups[limit.name] for limit in limits for destination in limit.destinations
@@ -61,6 +63,16 @@
                 destination: self.groups[limit.name] for limit in limits for destination in limit.destinations
             }
 
+    def keep(self, lines: Mapping[str, float], classes: Sequence[str]) -> None:
+        """Keep so many circuits of groups free for the first class, where that is more than their own file keeps."""
+        for limit in self.limits:
+            kept = (
+                {name: max(limit.reserve.get(name, 0.0), lines[limit.name]) for name in classes[1:]}
+                if (limit.name in lines)
+                else {}
+            )
+            self.groups[limit.name].limit = replace(limit, reserve={**limit.reserve, **kept})
+
     def free(self, group: str) -> float:
         """The circuits of a group that nothing holds; below nought after its size was cut."""
         held = self.groups[group]
--- a/tests/test_configure.py
+++ b/tests/test_configure.py
@@ -70,7 +70,7 @@
     root = configure.Path(__file__).parent.parent
     for name in parts.NAMES:
         told = tomllib.loads((root / "deploy" / f"{name}.toml").read_text())
-        check, around = parts.kind(name).settings, parts.Around(settings={"store": True})
+        check, around = parts.kind(name).settings, parts.Around(settings={"store": True, "fleet": True})
         assert check(told, around) == (LogsConfig() if name == "logs" else None)
         with pytest.raises(config.MalformedError, match="odd is unknown"):
             check(told | {"odd": 1}, around)
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -283,7 +283,7 @@
         fleet.run(10.0)
     assert fleet.until(fleet.agreed, 10_000.0) < 10_000.0
     new, former = fleet.hosts["p0"].view, fleet.hosts["p1"].view
-    assert new.version_for(fleet.hosts["p2"].view.run) == 2 and new.version_for(0) == wire.LEAST
+    assert new.version_for(fleet.hosts["p2"].view.run) == wire.VERSION and new.version_for(0) == wire.LEAST
     assert new.version_for(former.run) == former.version_for(new.run) == 1
     # The former ones hear of a later incarnation before they hear of the facts, and can't tell that these changed.
     new.change_facts(fleet.clock.now_ms, {"service": "out"})
