--- a/leadslip/__main__.py
+++ b/leadslip/__main__.py
@@ -214,6 +214,8 @@
         """A server ends a call never held here: it stands since before a restart, and its caller is told."""
         self.tally.add("servers.unknown_ends")
         self.clients.release(call.hex(), cut)
+        for part in self.parts.values():
+            part.ended_elsewhere(call.hex())
 
     def report(self, _: object = None) -> None:
         """Log the counters now and then."""
--- a/leadslip/choice.py
+++ b/leadslip/choice.py
@@ -111,6 +111,15 @@
         if quotas != self.quotas or not quotas:
             self.quotas, self.asked = quotas, dict(quotas)  # asked: each tenant's part of the calls here
 
+    def learned(self) -> tuple[float, int, dict[int, float]]:
+        """How long and by how many calls rates have been learned, and the rates by a server's number."""
+        return self.known_ms, self.known_calls, dict(self.rates)
+
+    def recall(self, known_ms: float, known_calls: int, rates: dict[int, float]) -> None:
+        """Take what a former process here had learned; nothing where this one knows more."""
+        if known_ms > self.known_ms:
+            self.known_ms, self.known_calls, self.rates = known_ms, known_calls, dict(rates)
+
     def handle(self, now_ms: float, event: face.Event) -> list[face.Action]:
         """Take one event; the actions hold from now on."""
         self.actions = []
--- a/leadslip/net/clients.py
+++ b/leadslip/net/clients.py
@@ -4,6 +4,7 @@
 
 import re
 from collections import OrderedDict
+from collections.abc import Callable
 
 from twisted.internet import protocol
 
@@ -164,6 +165,16 @@
         request = self.front.engine.standing.get(call_id(headers))
         # A release may have crossed our own, which is kept until it is heard.
         known = request is not None or call_id(headers) in self.front.byes
+        if not known and self.front.seek is not None:
+            echoed = echo(headers)  # what it is made of is gone when the answer comes
+
+            def sought(found: bool) -> None:
+                if self in self.front.links:
+                    status = b"200 OK" if found else UNKNOWN
+                    self.say(b"SIP/2.0 ", status, b"\r\n", echoed, b"Content-Length: 0\r\n\r\n")
+
+            self.front.seek(call_id(headers), sought)
+            return
         self.reply(b"200 OK" if known else UNKNOWN, headers)
         if request is not None:
             self.front.engine.hang_up(request)
@@ -232,6 +243,8 @@
         self.byes: OrderedDict[str, Owed] = OrderedDict()
         self.callers: OrderedDict[CallerLink, None] = OrderedDict()  # brought a call, the latest last
         self.retelling = False
+        # Finds a call that is not held here and releases it; tells whether it did. None: nobody else knows of any.
+        self.seek: Callable[[str, Callable[[bool], None]], None] | None = None
 
     def buildProtocol(self, addr: object) -> CallerLink | None:
         return CallerLink(self) if self.accepted.room() else None
--- a/leadslip/net/servers.py
+++ b/leadslip/net/servers.py
@@ -246,15 +246,23 @@
             on = self.on.get(call)
             out = on is not None and call in on.set_ups
             if self._drop(call) is not None:
-                told = message(RELEASE, call, (CAUSE, bytes((NORMAL,))))
-                link = on if out else self._least_used()
-                if link is None:
-                    self.unsaid.append(told)  # else the call would stand on at the server
-                    self.dial()
-                else:
-                    link.say(told)
+                self.tell_release(call, on if out else self._least_used())
         self.far.tidy(self)
 
+    def tell_release(self, call: bytes, link: ServerLink | None) -> None:
+        """Release a call at the server, cause 16."""
+        told = message(RELEASE, call, (CAUSE, bytes((NORMAL,))))
+        if link is None:
+            self.unsaid.append(told)  # else the call would stand on at the server
+            self.dial()
+        else:
+            link.say(told)
+
+    def release_unheld(self, call: bytes) -> None:
+        """Release a call that is not held here, as one that another process set up."""
+        self.far.remember(call)
+        self.tell_release(call, self._least_used())
+
     def _drop(self, call: bytes) -> Attempt | None:
         """Forget a call; that it was held is remembered for a while, as its end may be told once more."""
         attempt = self.calls.pop(call, None)
--- a/leadslip/parts/__init__.py
+++ b/leadslip/parts/__init__.py
@@ -19,7 +19,7 @@
     from leadslip.parts.part import Part
 
 # In the order in which they are read and wired.
-NAMES = ("logs", "otlp", "store", "trunks", "enum", "fleet", "agreement")
+NAMES = ("logs", "otlp", "store", "trunks", "enum", "fleet", "agreement", "replicas")
 
 
 @dataclass(slots=True)
--- a/leadslip/parts/part.py
+++ b/leadslip/parts/part.py
@@ -12,6 +12,8 @@
 from leadslip.deadlines import Clock, Deadlines
 from leadslip.filters import Filter
 from leadslip.logs import Log
+from leadslip.net.clients import Clients
+from leadslip.net.servers import Servers
 from leadslip.operators import Calls
 from leadslip.readiness import Readiness
 
@@ -30,6 +32,8 @@
     engine: Engine  # of calls; made after the parts
     engines: list[Engine]
     watches: Mapping[str, Watcher | None]
+    clients: Clients  # made after the parts, as the servers are
+    servers: Servers
     parts: Mapping[str, Part]  # those that are on, by name
 
     def filter(self) -> None:
@@ -71,5 +75,8 @@
         """A reload has been taken."""
         self.conf = conf
 
+    def ended_elsewhere(self, call: str) -> None:
+        """A server has ended a call that the engine does not hold."""
+
     def close(self) -> None:
         """The proxy ends."""
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -281,7 +281,13 @@
     """The proxy itself, started as deploy/balancer.toml does but for the listening ports."""
 
     def __init__(
-        self, folder: Path, servers: dict[str, str], release: bool = True, enum: str = "", **more: object
+        self,
+        folder: Path,
+        servers: dict[str, str],
+        release: bool = True,
+        enum: str = "",
+        parts: dict[str, str] | None = None,
+        **more: object,
     ):
         self.board = Board()
         known = {
@@ -294,6 +300,9 @@
         self.configure()
         (folder / "enum.toml").write_text(enum or "enabled = false\n")
         environ = {"NODE_CONFIG": str(folder / "config.json"), "LEADSLIP_ENUM": str(folder / "enum.toml")}
+        for name, text in (parts or {}).items():
+            (folder / f"{name}.toml").write_text(text)
+            environ[f"LEADSLIP_{name.upper()}"] = str(folder / f"{name}.toml")
         flags = ["-O"] if release else []
         self.process = subprocess.Popen(
             [sys.executable, "-u", *flags, "-m", "leadslip"],
--- a/tests/test_fleet_documents.py
+++ b/tests/test_fleet_documents.py
@@ -42,7 +42,10 @@
         ({"bars": {"prefix": ["1"]}}, "unknown field"),
         ({"odd": {}}, "no such document"),
         ({"isolated": {"most_tries": 0}}, "most_tries is below 1"),
-        ({"held": {"servers": ["s2"]}, "isolated": ISOLATED | {"held": {"servers": ["s2"]}}}, "isolated first"),
+        (
+            {"held": {"servers": ["s2"]}, "isolated": ISOLATED | {"held": {"servers": ["s2"]}}},
+            "isolated first",
+        ),
     ],
 )
 def test_a_change_is_refused_by_the_rule_that_says_so(told, rule):
