--- a/leadslip/cli/toy.py
+++ b/leadslip/cli/toy.py
@@ -31,6 +31,9 @@
 
     def connectionMade(self) -> None:  # noqa: N802
         toy = self.factory
+        self.transport.setTcpNoDelay(
+            True
+        )  # else a release waits for the acknowledgement of the answer before it
         toy.links.append(self)
         told, toy.ends = toy.ends, []
         self.say(message(STATE, bytes(8), (REPORT, toy.report())) + b"".join(told))
--- a/leadslip/drill/check.py
+++ b/leadslip/drill/check.py
@@ -6,6 +6,9 @@
 A1: no two act on different contents under one revision, and revisions only grow at a process.
 A2: nobody acts on a revision for longer than the stated time after another has begun to act on a newer one.
 A3: what was acknowledged to an operator is in what the voters hold in the end, while a majority keeps its disk.
+R1: a call whose release was answered with 200 is known to nobody in the end.
+R2: a call that stands is released through any other process, wherever its own has been killed meanwhile.
+R3: in quiet each table is held by two others as its owner has it.
 C1: one final answer a call, in time, where the called process was neither killed, stopped nor sent out of service.
 """
 
@@ -16,6 +19,7 @@
 from pathlib import Path
 
 WRONG_MS = 2000.0
+BEHIND_MS = 1000.0  # what was answered so shortly before a kill may have been with no holder
 ANSWER_MS, SLACK_MS = 3000.0, 1000.0
 NO_END = float("inf")
 
@@ -64,6 +68,46 @@
         found, told = agreement(histories, faults, settings, in_force_ms)
         breaches += found
         figures |= told
+    if (folder / "replicas.json").exists():
+        found, told = replicas(faults, json.loads((folder / "replicas.json").read_text()))
+        breaches += found
+        figures |= told
+    return breaches, figures
+
+
+def replicas(faults: list[dict], told: dict) -> tuple[list[Breach], dict[str, float]]:
+    """R1 to R3."""
+    at_ms = ended_at(faults)
+    breaches: list[Breach] = []
+    kills = [(one["unix_ms"], name) for one in faults if one["do"] == "kill" for name in one["who"]]
+    figures = {"releases_tried": 0.0, "of_killed": 0.0}
+    for call in told["tried"]:
+        figures["releases_tried"] += 1
+        answered_ms = call["answers"][0][0]
+        gone = [killed_ms for killed_ms, name in kills if name == call["proxy"] and killed_ms > answered_ms]
+        if call.get("released") == 200:
+            if call["told"] == 200:
+                breaches.append(
+                    Breach("R1", at_ms, call["through"], f"call {call['id']} ended and stands again")
+                )
+        elif call["told"] != 200 and not (gone and gone[0] - answered_ms < BEHIND_MS):
+            told_of = (
+                f"call {call['id']} of {call['proxy']} stands and {call['told']} is answered to its release"
+            )
+            breaches.append(Breach("R2", at_ms, call["through"], told_of))
+        elif gone:
+            figures["of_killed"] += 1
+    for name, one in told["told"].items():
+        if one["behind"]:
+            breaches.append(Breach("R4", at_ms, name, "is still behind"))
+        same = [
+            other
+            for other, seen in told["told"].items()
+            for copy in seen["held"]
+            if (copy["owner"], copy["run"], copy["digest"]) == (name, one["run"], one["own"]["digest"])
+        ]
+        if len(same) < min(2, len(told["told"]) - 1):
+            breaches.append(Breach("R3", at_ms, name, f"its table is held as it is by {same}"))
     return breaches, figures
 
 
--- a/leadslip/drill/scenario.py
+++ b/leadslip/drill/scenario.py
@@ -76,6 +76,9 @@
     voters: int = 0  # so many of the first processes vote on agreed documents; 0: nothing is agreed on
     changes_per_s: float = 1.0  # by operators, where there are voters
     in_force_ms: float = 2000.0
+    replicas: bool = (
+        False  # what a process knows is held by two others; calls stand for long and are released by callers
+    )
 
 
 @dataclass(frozen=True, slots=True)
--- a/leadslip/fleet/replicas/member.py
+++ b/leadslip/fleet/replicas/member.py
@@ -485,8 +485,11 @@
         """The server at which a call stands, by what is ours or held here; nothing where none is known."""
         state = self.own.get(STANDS, call)
         if state is None and (STANDS, call) not in self.since:  # else it ended here, whatever a copy says
-            copies = (copy.table.get(STANDS, call) for copy in self.held.values())
-            state = next((one for one in copies if one is not None), None)
+            # While its owner lives, that one's word counts alone: a copy may be one that it no longer writes to.
+            gone = (copy for copy in self.held.values() if copy.gone_ms < float("inf"))
+            state = next(
+                (one for one in (copy.table.get(STANDS, call) for copy in gone) if one is not None), None
+            )
         return "" if state is None else state.decode("utf-8", "replace")
 
     def over(self, call: str) -> None:
@@ -592,6 +595,7 @@
                 "records": len(self.own),
                 "digest": f"{self.own.digest():016x}",
             },
+            "run": f"{self.view.run:016x}",
             "behind": self.behind(now_ms),
             "holders": {
                 names.get(run, f"{run:016x}"): {"number": one.number, "lag": self.own.applied - one.number}
--- a/leadslip/net/peers.py
+++ b/leadslip/net/peers.py
@@ -75,6 +75,7 @@
 
     def connectionMade(self) -> None:
         deadlines = self.peers.deadlines
+        self.transport.setTcpNoDelay(True)  # else a second frame waits for the first to be acknowledged
         self.overdue = deadlines.at(deadlines.clock.now_ms() + SESSION_MS, self.too_late)
         self.begin()
 
@@ -489,6 +490,8 @@
         """Leave in good order."""
         if self.view is None or self.stopped:
             return
+        for part in list(self.parts.values()):
+            part.due()  # what has happened last goes out before we leave
         self.view.leave(self.clock.now_ms())
         self.flush()
         self.stopped = True
