Replicas: believe copies of the gone and of who writes; let go of those under an earlier life

Change: copies count of those gone or heard within 5 s in the life that writes; letting go finds a table by its process.

--- a/leadslip/fleet/replicas/member.py
+++ b/leadslip/fleet/replicas/member.py
@@ -35,6 +35,7 @@
 RATE, DEPTH = 40.0, 60_000.0  # bytes a millisecond to all holders together, and at once
 OFFER_AGAIN_MS = 1000.0
 OFFERS_MS = 1500.0  # for so long a newcomer waits for offers of what it was, once it knows the fleet
+LATE_MS = 2.5 * DIGESTS_MS  # an owner that lives and has not written for so long is not believed by its copy
 STALE_MS = 10_000.0  # a table whose owner lives and has not written for so long is no copy of it any more
 ORPHAN_MS = 900_000.0  # the table of one that is gone is kept for so long
 SOUGHT_MS = 300.0  # whoever is asked for a call has so long to answer
@@ -224,7 +225,7 @@
 
     def reborn(self, run: int) -> None:
         """We were held dead: as the next life we own the same table, and our holders hold it for a run that is over."""
-        self.holders.clear()
+        self.holders = {held: Holder() for held in self.holders}
         self.placed = False
         self.wake_ms = 0.0
 
@@ -243,10 +244,14 @@
                 self._say(run, LetGo(self.view.run))
         for run in chosen:
             self.holders.setdefault(run, Holder())
-        live = {process_of(one.run) for one in members}
+        live = {process_of(one.run): one.run for one in members}
         for copy in self.held.values():
-            alive = process_of(copy.owner) in live
-            copy.gone_ms = float("inf") if alive else min(copy.gone_ms, now_ms)
+            run = live.get(process_of(copy.owner))
+            copy.gone_ms = float("inf") if run is not None else min(copy.gone_ms, now_ms)
+            if run is not None and run != copy.owner:
+                copy.heard_ms = min(
+                    copy.heard_ms, now_ms - LATE_MS
+                )  # it goes on in a later life, perhaps elsewhere
         if len(live) > 1 and self.view.joined and self.began_ms is None:
             self.began_ms = now_ms
 
@@ -481,15 +486,18 @@
 
     # Calls that reach a proxy that does not know them.
 
-    def known(self, call: str) -> str:
+    def known(self, now_ms: float, call: str) -> str:
         """The server at which a call stands, by what is ours or held here; nothing where none is known."""
         state = self.own.get(STANDS, call)
         if state is None and (STANDS, call) not in self.since:  # else it ended here, whatever a copy says
-            # While its owner lives, that one's word counts alone: a copy may be one that it no longer writes to.
-            gone = (copy for copy in self.held.values() if copy.gone_ms < float("inf"))
-            state = next(
-                (one for one in (copy.table.get(STANDS, call) for copy in gone) if one is not None), None
+            # A copy counts of one that is gone, and of one that has written of late: an owner that lives and is
+            # heard no more may have others that hold its table by now.
+            count = (
+                copy.table.get(STANDS, call)
+                for copy in self.held.values()
+                if copy.gone_ms < float("inf") or now_ms < copy.heard_ms + LATE_MS
             )
+            state = next((one for one in count if one is not None), None)
         return "" if state is None else state.decode("utf-8", "replace")
 
     def over(self, call: str) -> None:
@@ -501,7 +509,7 @@
 
     def seek(self, now_ms: float, call: str, done: Callable[[str], None]) -> None:
         """Find where a call stands: here, or at a member asked once; `done` is told once, within a bound."""
-        server = self.known(call)
+        server = self.known(now_ms, call)
         if server or self.seeks.now(now_ms) <= 0.0 or call in self.seeking:
             done(server)
             return
@@ -568,12 +576,12 @@
                         if 0 <= at < BUCKETS and self.rate.now(now_ms) > 0.0:
                             self.rate.spend(self._say(run, self._whole(told.owner, copy.table, at)))
             case LetGo():
-                copy = self.held.get(told.owner)
-                member = self.view.table.get(run)
-                if copy is not None and member is not None and member.name == copy.name:
-                    del self.held[told.owner]
+                member, process = self.view.table.get(run), process_of(told.owner)
+                for owner in [one for one, copy in self.held.items() if process_of(one) == process]:
+                    if member is not None and member.name == self.held[owner].name:
+                        del self.held[owner]
             case Seek():
-                server = self.known(told.call)
+                server = self.known(now_ms, told.call)
                 if server:
                     self._say(run, Sought(told.call, server))
             case Over():
