--- a/leadslip/fleet/replicas/member.py
+++ b/leadslip/fleet/replicas/member.py
@@ -457,6 +457,8 @@
             return
         here = set(self.since)
         for key in back.table.all(ENDED):
+            if (STANDS, key) not in here:
+                self._put(STANDS, key, None)  # an earlier process's table may have brought it
             self.since[STANDS, key] = None
         for kind in (FORMER, ENDED, LEARNED, STANDS):
             told = {
