--- /dev/null
+++ b/tests/test_build.py
@@ -0,0 +1,45 @@
+"""The build of deploy/balancer.toml: anew when what it was built from has changed, with bytecode that `run` reads."""
+
+import os
+import subprocess
+import sys
+import tomllib
+
+from tests.standins import ROOT
+
+PIP = """#!/bin/sh
+echo "$*" >>installed
+"""
+PYTHON = """#!/bin/sh
+case "$1" in
+  --version) cat version ;;
+  -m) mkdir -p .venv/bin .venv/lib && ln -s {python} .venv/bin/python && cp pip .venv/bin/pip ;;
+esac
+"""
+
+
+def build(folder):
+    """Run the build with a python3 that makes an environment whose pip only writes down what it is asked for."""
+    conf = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+    environ = os.environ | {"PATH": f"{folder / 'bin'}:{os.environ['PATH']}", "PYTHONDONTWRITEBYTECODE": "1"}
+    environ.pop("PYTHONPYCACHEPREFIX", None)
+    subprocess.run(["/bin/sh", "-c", conf["build"]], cwd=folder, env=environ, check=True)
+    return len((folder / "installed").read_text().splitlines())
+
+
+def test_it_is_made_anew_when_requirements_or_python_change_and_compiled_for_run(tmp_path):
+    for name in ("bin", "deploy", "leadslip"):
+        (tmp_path / name).mkdir()
+    (tmp_path / "deploy" / "build.sh").write_text((ROOT / "deploy" / "build.sh").read_text())
+    (tmp_path / "leadslip" / "one.py").write_text("ONE = 1\n")
+    (tmp_path / "requirements.txt").write_text("one==1\n")
+    (tmp_path / "version").write_text("Python 1\n")
+    for name, text in (("pip", PIP), ("bin/python3", PYTHON.format(python=sys.executable))):
+        (tmp_path / name).write_text(text)
+        (tmp_path / name).chmod(0o755)
+    assert (build(tmp_path), build(tmp_path)) == (1, 1), "nothing has changed"
+    assert list((tmp_path / "leadslip" / "__pycache__").glob("one.*.opt-1.pyc"))
+    (tmp_path / "requirements.txt").write_text("one==2\n")
+    assert (build(tmp_path), build(tmp_path)) == (2, 2)
+    (tmp_path / "version").write_text("Python 2\n")
+    assert build(tmp_path) == 3
