A reload that changes worths forgets the mean of those that are gone

Now a change of classes or worths starts it anew. Seen failing without: test_retune, worths that a revision drops.

--- a/leadslip/choice.py
+++ b/leadslip/choice.py
@@ -83,6 +83,7 @@
 
     def __init__(self, settings: face.Settings, seed: int) -> None:
         self.quotas: dict[str, float] = {}
+        self.worths: dict[str, float] = {}  # of each class
         self.adopt(settings)
         self.random = random.Random(seed)
         self.servers: dict[str, _Server] = {}
@@ -93,7 +94,6 @@
         self.busy: dict[str, float] = {}  # number called -> not to be tried before
         self.rates: dict[int, float] = {}  # server number -> calm set-ups a millisecond
         self.offered: dict[int, int] = {}  # first-choice number -> calls offered in this interval
-        self.mean_worth = self.least_worth
         self.known_ms, self.known_calls = 0.0, 0  # how long, and by how many calls rates have been learned
         self.logged = 0
         self.lost = 0.0  # set-ups lately shown to be lost
@@ -106,6 +106,9 @@
         self.classes = {kind.name: kind for kind in settings.classes}
         self.least_worth = min((kind.worth for kind in settings.classes if kind.worth > 0), default=1.0)
         self.most_worth = max((kind.worth for kind in settings.classes), default=1.0)
+        worths = {kind.name: kind.worth for kind in settings.classes}
+        if worths != self.worths:  # else worths that are no more would go on weighing those that are
+            self.worths, self.mean_worth = worths, self.least_worth
         total = sum(tenant.quota_per_s for tenant in settings.tenants) or 1.0
         quotas = {tenant.name: tenant.quota_per_s / total for tenant in settings.tenants}
         if quotas != self.quotas or not quotas:
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -7,6 +7,7 @@
 
 from leadslip import config
 from leadslip import interface as face
+from leadslip.choice import _Call
 from leadslip.core import Request
 from tests.helpers import PLAIN, URGENT
 from tests.standins import notice, settings
@@ -152,3 +153,17 @@
 
 def _fields(settings_: face.Settings) -> dict:
     return {name: getattr(settings_, name) for name in settings_.__dataclass_fields__}
+
+
+def test_worths_that_a_revision_drops_do_not_weigh_on_those_that_stay():
+    """Two hundred calls of a class that was worth much, and is no more: what is left is worth the mean again."""
+    rich = face.CallClass("rich", 100.0, 0.2, 1500.0, 9000.0)
+    world = World(classes=(rich, face.CallClass(PLAIN, 1.0, 0.2, 1500.0, 9000.0)))
+    for i in range(200):
+        world.engine.offer(Request(f"{i:016x}", "rich", world.now_ms() + 5000.0, world))
+    controller = world.engine.controller
+    plain = face.CallOffered("x", PLAIN, 0.0, 0)
+    only = face.Settings(**{**_fields(world.engine.settings), "classes": (controller.classes[PLAIN],)})
+    assert controller._precedence(_Call(plain, controller.classes[PLAIN], 4)) == 0.5
+    world.engine.adopt(only, 20_000)
+    assert controller._precedence(_Call(plain, controller.classes[PLAIN], 4)) == 1.0
