--- a/tests/test_board.py
+++ b/tests/test_board.py
@@ -61,3 +61,63 @@
     said(second, 5, ("s1", "127.0.0.1:2", "active"))
     said(second, 5, ("s1", "127.0.0.1:2", "active"))
     assert told == [4, 5]
+
+
+def begun():
+    """A board with one poll open; what it has told, the polls, and the stream."""
+    world, told, watches = World(), [], Watches()
+    held = board.Board(
+        world.time, world.deadlines, world.tally, ("127.0.0.1", 9), 3, lambda one: told.append(one.rev), 0.5
+    )
+    held.agent = watches
+    held.poll()
+    return world, held, told, watches, watches.answer(0)
+
+
+def test_silence_in_the_middle_of_an_event_ends_the_watch_in_time_for_what_counts_as_told():
+    world, _, told, watches, first = begun()
+    text = json.dumps(notice(4, ("s0", "127.0.0.1:1", "active"))).encode()
+    first.dataReceived(b"id: 4\ndata: " + text[:20])
+    world.time.advance(2.6)
+    assert [last for _, last in watches.polls] == ["3", "3"], (
+        "what a stop keeps back counts as told after 4 s"
+    )
+    first.dataReceived(text[20:] + b"\n\n")
+    assert told == [], "the rest of it, late, is not heard"
+    said(watches.answer(1), 4, ("s0", "127.0.0.1:1", "active"))
+    assert told == [4]
+
+
+def test_an_end_between_the_number_of_an_event_and_its_words_skips_nothing():
+    world, _, told, watches, first = begun()
+    first.dataReceived(b"id: 4\n")
+    first.connectionLost()
+    world.time.advance(0.25)
+    assert [last for _, last in watches.polls] == ["3", "3"], (
+        "polled again well within 2 s, from the last told"
+    )
+    second = watches.answer(1)
+    said(second, 4, ("s0", "127.0.0.1:1", "active"))
+    assert told == [4]
+
+
+def test_what_an_old_board_says_after_a_move_is_not_heard_and_its_end_starts_no_poll():
+    world, held, told, watches, first = begun()
+    held.move(("127.0.0.1", 10))
+    said(first, 4, ("s0", "127.0.0.1:1", "active"))
+    second = watches.answer(1)
+    said(second, 4, ("s0", "127.0.0.1:1", "active"))
+    first.connectionLost()
+    world.time.advance(0.5)
+    assert told == [4] and len(watches.polls) == 2 and second.transport.disconnecting is False
+
+
+def test_a_poll_that_never_begins_is_begun_anew():
+    world, told, watches = World(), [], Watches()
+    held = board.Board(
+        world.time, world.deadlines, world.tally, ("127.0.0.1", 9), 3, lambda one: told.append(one.rev), 0.5
+    )
+    held.agent = watches
+    held.poll()
+    world.time.advance(2.6)
+    assert len(watches.polls) == 2 and world.tally.counts["board.silent"] == 1
