No set-up for a caller that has gone; an ordered exit; descriptors kept for all

Connections to servers had no bound; EMFILE at a dial counted against the server. A release on a stalled connection was dropped. Class names beyond ASCII were refused. Change: Engine.wanted before each write lets the front take what lies unread; timers wait one turn in which sockets are read; set-ups are flushed at once; Node.leave ends in one order; AcceptedLinks reads before it closes and flushes what it closes, takes a few beyond the bound to tell them 503; Descriptors shares them out. The time of the last answers has a test by exact figures.

--- a/leadslip/__main__.py
+++ b/leadslip/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import gc
+import resource
 import signal
 import sys
 import time
@@ -30,11 +31,13 @@
 LISTEN_AFTER_END_MS = (
     500.0  # new connections may come for 0.4 s after SIGTERM where nobody shares the address
 )
-LONGEST_COUNTED_MS = 3000.0  # SIGKILL may follow after the longest deadline, counted as this at the most ...
-KILLED_AFTER_MS = 700.0  # ... and so much more
-MARGIN_MS = 200.0  # to be out before it
 LAST_SWEEP_MS = 400.0  # before the exit, every connection is closed once it owes no answer
 TALLY_EVERY_MS = 10_000.0
+FLUSH_MS = 120.0  # at the end, for so long callers may take to read the last answers
+FLUSH_LOOK_MS = 10.0  # between two looks whether they have
+# Descriptors beside connections of callers and servers: standard streams, the reactor's own, listeners and their
+# reserve, polls of two boards, calls at the operators' address, files read anew.
+OTHER_DESCRIPTORS = 24
 
 
 class ListenError(OperatorError):
@@ -63,9 +66,21 @@
     return held[0] if len(held) == 1 else Watchers(*held) if held else None
 
 
-def most_links(conf: config.Config) -> int:
-    """Connections taken from callers, who hold a third of the descriptors; the rest are for servers."""
-    return conf.sockets * 5 // 8
+@dataclass(frozen=True, slots=True)
+class Descriptors:
+    """How the descriptors that the process may hold are shared out, so that no use of them starves another."""
+
+    callers: int  # connections taken from callers, who hold a third of all
+    spare: int  # more of them, taken only to tell callers to come again
+    servers: int  # connections to setup servers beyond which none is opened that can be done without
+
+    @classmethod
+    def of(cls, conf: config.Config) -> Descriptors:
+        """By the limit told, or that of the system where it is lower."""
+        most = min(conf.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+        spare = most // 16
+        callers = most * 5 // 8 - spare
+        return cls(callers, spare, most - callers - spare - OTHER_DESCRIPTORS)
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,8 +113,15 @@
                 part = self.parts[name] = parts.wiring(name)(self, told)
                 part.watch(watches)
         self.watches = {name: watcher_of(held) for name, held in watches.items()}
+        descriptors = Descriptors.of(conf)
         self.servers = Servers(
-            reactor, self.tally, self.clock.now_ms, conf.dial_timeout_ms, self.unknown_end, self.deadlines
+            reactor,
+            self.tally,
+            self.clock.now_ms,
+            conf.dial_timeout_ms,
+            self.unknown_end,
+            self.deadlines,
+            descriptors.servers,
         )
         self.figures = Counters()
         self.engine = self.servers.engine = Engine(
@@ -121,7 +143,9 @@
                 self.figures.watch(name, read)
         self.engines = [self.engine]
         self.filter()
-        self.clients = Clients(self.engine, self.tally, most_links(conf), self.readiness)
+        self.clients = Clients(
+            self.engine, self.tally, descriptors.callers, self.readiness, descriptors.spare
+        )
         self.board = Board(
             reactor,
             self.deadlines,
@@ -225,6 +249,8 @@
 
     def reload(self) -> None:
         """SIGHUP: take all configuration anew, or none of it and say why."""
+        if self.engine.settled:
+            return  # the process ends: there is nothing left to which settings could apply
         try:
             conf = config.reload(self.conf)
             wanted = Wanted.load(conf)
@@ -246,7 +272,9 @@
         self.figures.config_applied += 1
         self.tally.add("reloads")
         self.servers.dial_timeout_s = conf.dial_timeout_ms / 1000.0
-        self.clients.accepted.most = most_links(conf)
+        descriptors = Descriptors.of(conf)
+        self.clients.accepted.most, self.clients.accepted.spare = descriptors.callers, descriptors.spare
+        self.servers.most_links = descriptors.servers
         for notice in conf.notices:
             if notice.rev > self.board.last:
                 self.board.last = notice.rev
@@ -257,7 +285,7 @@
 
     def drain(self) -> None:
         """SIGTERM: no more connections are taken here; what is held is answered, and clients are sent away."""
-        if not self.readiness.end(self.clock.now_ms()):
+        if not self.readiness.end(self.clock.now_ms(), self.longest()):
             return
         if self.port is not None:
             self.deadlines.at(self.clock.now_ms() + LISTEN_AFTER_END_MS, lambda _: stop_shared(self.port))
@@ -269,9 +297,7 @@
     def drained(self, _: object = None) -> None:
         """Exit once all is settled, or shortly before the kill."""
         now_ms = self.clock.now_ms()
-        longest_ms = max(kind.deadline_ms for kind in self.conf.settings.classes)
-        ending_ms = self.readiness.ending_ms
-        last_ms = ending_ms + min(longest_ms, LONGEST_COUNTED_MS) + KILLED_AFTER_MS - MARGIN_MS
+        ending_ms, last_ms = self.readiness.ending_ms, self.readiness.last_ms(self.longest())
         # What stands can be told only on a connection from callers; once none is left, the servers tell its end
         # to whoever else they serve, a new process beside this one among them.
         held = any(engine.open for engine in self.engines) or (self.engine.standing and self.clients.links)
@@ -281,20 +307,42 @@
             for link in self.clients.links:
                 link.still_used = True
         if now_ms >= last_ms or (now_ms >= ending_ms + DRAIN_MS and not held):
-            self.board.stop()
-            for engine in self.engines:
-                engine.settle()  # guards against what is still open being found unanswered by the kill
-            for part in self.parts.values():
-                part.close()
-            self.report()
-            reactor.callLater(0.05, reactor.stop)  # what is written gets out first
+            self.leave()
             return
         self.deadlines.at(now_ms + 50.0, self.drained)
 
+    def longest(self) -> float:
+        """The longest deadline of a class, ms."""
+        return max(kind.deadline_ms for kind in self.conf.settings.classes)
+
+    def leave(self) -> None:
+        """The end, in one order: nothing more is sent, all is answered, what is written gets out, connections close.
+
+        Guards against what is still open being found unanswered by the kill, and against requests taken while the
+        last answers are on their way.
+        """
+        self.board.stop()
+        for engine in self.engines:
+            engine.settle()
+        for part in self.parts.values():
+            part.close()
+        self.report()
+        self.flushed(self.clock.now_ms() + FLUSH_MS)
+
+    def flushed(self, last_ms: float) -> None:
+        """Stop once callers have all that was written for them, or at the last moment."""
+        now_ms = self.clock.now_ms()
+        if now_ms < last_ms and not self.clients.finish():
+            self.deadlines.at(now_ms + FLUSH_LOOK_MS, self.flushed, last_ms)
+            return
+        reactor.callLater(FLUSH_LOOK_MS / 1000.0, reactor.stop)  # servers are told of what is given up first
+
 
 def main() -> int:
     """Run until a SIGTERM has been served; 2 when the configuration makes no sense."""
     node = None
+    # One that comes before anything is taken ends the program as one does that comes later.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
     # Hooked first, as a SIGHUP not yet hooked ends the process; one that comes early waits for the reactor.
     signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(lambda: node.reload()))
     try:
--- a/leadslip/core.py
+++ b/leadslip/core.py
@@ -91,6 +91,7 @@
         self.told_ms: dict[str, float] = {}  # when a server was told to drain or be gone
         self.events: deque[face.Event] = deque()
         self.feeding = False
+        self.settled = False  # the process ends: nothing more is sent
 
     def adopt(self, settings: face.Settings, most_held: int) -> None:
         """Take settings that have changed while running; requests already held keep their deadlines and attempts.
@@ -104,7 +105,8 @@
         self.counters.count_classes(kind.name for kind in settings.classes)
 
     def settle(self) -> None:
-        """Answer all that is open now, since nothing can be answered later."""
+        """Answer all that is open now, and refuse whatever still comes, since nothing can be answered later."""
+        self.settled = True
         for request in list(self.open.values()):
             self._overdue(request)
 
@@ -161,8 +163,8 @@
 
     # What fronts say.
 
-    def offer(self, request: Request) -> None:
-        """Take a request; it gets its one final answer through its front."""
+    def offer(self, request: Request, room: bool = True) -> None:
+        """Take a request; it gets its one final answer through its front, at once where that has no room for it."""
         now_ms = request.taken_ms = self.clock.now_ms()
         request.most_tries = self.settings.max_attempts
         self.tally.add("requests")
@@ -174,8 +176,8 @@
             request.front.failed(request)
             return
         self.open[request.id] = request
-        if len(self.open) > self.most_held:
-            self.tally.add("requests.over_most_held")
+        if self.settled or not room or len(self.open) > self.most_held:
+            self.tally.add("requests.after_the_end" if self.settled else "requests.over_most_held")
             self._refuse(request, 0.0)
             return
         if self.chain.filters:
@@ -275,6 +277,16 @@
         """Requests taken and not yet ended: open, or answered with a call that stands."""
         return len(self.open) + len(self.standing)
 
+    def wanted(self, attempt: Attempt) -> bool:
+        """Whether a set-up may leave now; the far side asks just before it writes one.
+
+        Guards against set-ups for a caller that has gone: its leaving may lie unread, behind what else came in the
+        same turn or while the process had no processor, and what waited for a connection may be out of time.
+        """
+        request = attempt.request
+        request.front.catch_up(request)
+        return attempt.out and request.state is State.OPEN and self.clock.now_ms() < attempt.cut_at_ms
+
     def written(self, attempt: Attempt) -> None:
         """The far side has written an attempt's set-up whole to its server: a try."""
         self.counters.tried(attempt.request.call_class)
--- a/leadslip/deadlines.py
+++ b/leadslip/deadlines.py
@@ -86,6 +86,14 @@
             self.wake = self.scheduler.callLater(seconds, self._ring)
 
     def _ring(self) -> None:
+        """Something is due: what lies in the sockets is read first.
+
+        Guards against a process that had no processor for a while: it would give up what has been answered, ask
+        who has spoken and send for who has left, as timers run ahead of the sockets.
+        """
+        self.wake = self.scheduler.callLater(0.0, self._run)
+
+    def _run(self) -> None:
         self.wake = None
         now_ms = self.clock.now_ms()
         try:
--- a/leadslip/net/clients.py
+++ b/leadslip/net/clients.py
@@ -81,12 +81,17 @@
             raise MessageError("Content-Length")
         return int(told[0])
 
-    def readEnded(self) -> None:
+    def asking(self) -> bool:
+        return bool(self.fresh)
+
+    def read(self) -> None:
         # Offered only now. Guards against servers working on set-ups withdrawn in the same breath, or
         # followed by what can't be read.
         fresh, self.fresh = self.fresh, {}
         for request in fresh.values():
-            self.front.engine.offer(request)
+            self.front.engine.offer(request, room=not self.spare)
+        if self.spare and self.heard_ms:
+            self.accepted.close(self)
 
     def messageReceived(self, head: memoryview, body: memoryview) -> None:
         self.heard()
@@ -125,7 +130,7 @@
         # Expires-Ms is a span from the sending of the set-up; rules go by Unix time: converted here only.
         request = Request(
             call_id(headers),
-            headers.get(b"priority-class", b"").decode("ascii", "replace"),
+            headers.get(b"priority-class", b"").decode("utf-8", "replace"),
             now_ms + expires_ms,
             front,
             bytes(body),  # kept for further attempts, so it outlives the buffer
@@ -234,9 +239,11 @@
 
     noisy = False
 
-    def __init__(self, engine: Engine, tally: Tally, most_links: int, readiness: Readiness) -> None:
+    def __init__(
+        self, engine: Engine, tally: Tally, most_links: int, readiness: Readiness, spare: int = 0
+    ) -> None:
         self.engine, self.tally, self.readiness = engine, tally, readiness
-        self.accepted = AcceptedLinks(tally, "clients", most_links, engine.deadlines)
+        self.accepted = AcceptedLinks(tally, "clients", most_links, engine.deadlines, spare)
         self.links = self.accepted.held
         self.unsaid: dict[str, None] = {}  # releases that wait for a connection
         self.sweeping = False  # connections are being closed as they come free
@@ -305,14 +312,32 @@
         owing = {request.context[0] for request in self.engine.standing.values()}
         now_ms = self.engine.clock.now_ms()
         for link in list(self.links):
-            if link.set_ups or link.transport.disconnecting or (link in owing and not link.still_used):
+            if link.transport.disconnecting or (link in owing and not link.still_used):
                 continue
-            if (not link.heard_ms and now_ms - link.opened_ms < SWEEP_MS) or link.unread():
-                continue  # its first set-up is on its way, or one has come: it is answered first
+            link.catch_up()
+            if link not in self.links or link.set_ups or link.partial_ms:
+                continue  # a set-up has come, in part or whole: it is answered first
+            if not link.heard_ms and now_ms - link.opened_ms < SWEEP_MS:
+                continue  # its first one is on its way
             self.tally.add("clients.sent_away")
             link.transport.loseConnection()
         self.engine.deadlines.at(now_ms + SWEEP_MS, self._sweep)
 
+    def finish(self) -> bool:
+        """Close every connection once what was written on it is out; tells whether all have closed.
+
+        For the very end, when all is answered: what has come on one is read first, and refused. A set-up that
+        crosses the close is sent again by its caller, as no other is open there.
+        """
+        for link in list(self.links):
+            link.catch_up()
+            if link in self.links:
+                self.accepted.close(link)
+        return not self.accepted.closing
+
+    def catch_up(self, request: Request) -> None:
+        request.context[0].catch_up()
+
     def cancelled(self, request: Request) -> None:
         request.context[0].set_ups.pop(request.id, None)
         self.engine.cancel(request)
--- a/leadslip/net/enum.py
+++ b/leadslip/net/enum.py
@@ -143,6 +143,12 @@
             return request
         return None
 
+    def catch_up(self, request: Request) -> None:
+        """Over UDP nobody tells that he leaves."""
+        asker = request.context.key[0]
+        if isinstance(asker, EnumLink):
+            asker.catch_up()
+
     def gone(self, request: Request) -> None:
         """The asker has left."""
         self.open.pop(request.context.key, None)
--- a/leadslip/net/links.py
+++ b/leadslip/net/links.py
@@ -14,6 +14,7 @@
 
 from twisted.internet import error, interfaces, protocol, tcp
 from twisted.protocols.basic import Int16StringReceiver, LineReceiver
+from twisted.python.failure import Failure
 from zope.interface import implementer
 
 from leadslip.checks import Tally
@@ -24,6 +25,9 @@
 IDLE_MS = 15_000.0  # for so long a connection may stay open with nothing due on it
 LOOK_MS = 200.0  # between two looks at the connections taken
 STALLED_MS = 2000.0  # for so long a peer may leave what we wrote unread
+SPARE_MS = 500.0  # so long a connection beyond the bound has to say what it is told to come again with
+READ = 64 * 1024  # bytes of one read, as Twisted's
+READS_ON = 4  # reads that may follow on one before what came of it is offered
 
 
 def listen_shared(
@@ -108,21 +112,23 @@
         self.transport.write(b"".join(parts))
         return True
 
+    def flush(self) -> None:
+        """Hand what was written to the system now, not at the reactor's next turn."""
+        if not self.transport.disconnecting:
+            self.transport.doWrite()  # an error of it is met again at that turn, and handled there
+
     def malformed(self, fault: MessageError) -> None:
         self.tally.add(f"{self.peer_kind}.malformed")
         self.transport.abortConnection()
 
-    def unread(self) -> bool:
-        """Whether bytes wait for us: in the socket, not read yet, or half a message read.
-
-        Guards against closing a connection under a message that has come: a peer is owed an answer to it.
-        """
-        if self.partial_ms:
-            return True
+    def receive(self) -> bytes | None:
+        """What waits in the socket, not read yet; empty where the connection has ended, None where nothing waits."""
         try:
-            return bool(self.transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
-        except OSError:  # nothing waits, or the connection has ended
-            return False
+            return self.transport.getHandle().recv(READ)
+        except BlockingIOError:
+            return None
+        except OSError:  # reset
+            return b""
 
 
 class AcceptedLink(Link):
@@ -131,14 +137,53 @@
     accepted: AcceptedLinks
     opened_ms = 0.0
     heard_ms = 0.0  # when its last whole message came; 0: none has
+    reading = False  # what has been read is being taken
+    spare = False  # taken beyond the bound: told to come again, and closed
 
     def connectionMade(self) -> None:
         self.opened_ms = self.now_ms()
+        self.spare = len(self.accepted.held) >= self.accepted.most
         self.accepted.held[self] = self.accepted.silent[self] = None
         super().connectionMade()
 
     def connectionLost(self, reason: object = None) -> None:
-        self.accepted.remove(self)
+        self.accepted.ended(self)
+
+    def dataReceived(self, data: bytes) -> None:
+        """Take a read and, where requests have come of it, whatever follows it already; then let them be offered.
+
+        Guards against servers working on requests withdrawn or left since: what tells it may lie right behind.
+        """
+        self.reading = True
+        try:
+            super().dataReceived(data)
+            for _ in range(READS_ON):
+                more = self.receive() if self.asking() and self in self.accepted.held else None
+                if more:
+                    super().dataReceived(more)
+                elif more is not None:
+                    self.accepted.close(self)
+                    return
+            self.read()
+        finally:
+            self.reading = False
+
+    def asking(self) -> bool:
+        """Whether requests have been read that are not offered yet."""
+        return False
+
+    def read(self) -> None:
+        """All that had come has been taken."""
+
+    def catch_up(self) -> None:
+        """Take what has come meanwhile and is not read yet: its peer may have spoken, or gone."""
+        if self.reading or self not in self.accepted.held or self.transport.disconnecting:
+            return
+        data = self.receive()
+        if data:
+            self.dataReceived(data)
+        elif data is not None:
+            self.accepted.close(self)
 
     def heard(self) -> None:
         """A whole message has come."""
@@ -160,27 +205,57 @@
     """The connections that a front has taken: bounds on their number, on silence and on half a message.
 
     Guards against descriptors and memory held by peers that say nothing, ask once and stay, or never finish;
-    where connections run short these go first, so that who has something to say is let in.
+    where connections run short these go first, so that who has something to say is let in. Where all are owed an
+    answer a few more are taken beyond the bound, to be told so and closed: `spare` of them.
     """
 
-    def __init__(self, tally: Tally, kind: str, most: int, deadlines: Deadlines) -> None:
-        self.tally, self.kind, self.most, self.deadlines = tally, kind, most, deadlines
+    def __init__(self, tally: Tally, kind: str, most: int, deadlines: Deadlines, spare: int = 0) -> None:
+        self.tally, self.kind, self.most, self.deadlines, self.spare = tally, kind, most, deadlines, spare
         self.held: OrderedDict[AcceptedLink, None] = OrderedDict()  # the least lately heard first
         self.silent: OrderedDict[AcceptedLink, None] = OrderedDict()  # those not heard yet, oldest first
+        self.closing: dict[AcceptedLink, float] = {}  # what was written on them is not out yet -> closed when
         self.look()
 
     def room(self) -> bool:
         """Whether one more is taken; the one that needs its place least may be closed for it."""
         if len(self.held) < self.most:
             return True
-        found = next(iter(self.silent), None) or next((link for link in self.held if not link.busy()), None)
+        found = self._needs_least()
         self.tally.add(f"{self.kind}.over_limit")
-        if found is not None:
+        if found is not None and not found.heard_ms:
+            # Its descriptor is free at once. Guards against running out of them where hundreds come in one turn.
+            found.transport.connectionLost(Failure(error.ConnectionAborted()))
+        elif found is not None:
             self.close(found)
-        return found is not None
+        return len(self.held) + len(self.closing) < self.most + self.spare
+
+    def _needs_least(self) -> AcceptedLink | None:
+        """One that has said nothing, else the least lately heard that is owed nothing, else one that is unfinished."""
+        unfinished = None
+        for links in (self.silent, self.held):
+            for link in list(links):
+                if link.busy():
+                    continue
+                if link.partial_ms:
+                    unfinished = unfinished or link
+                elif self._still(link):
+                    return link
+        return unfinished
+
+    def _still(self, link: AcceptedLink) -> bool:
+        """Whether a connection is still without anything to say, once what has come on it is read.
+
+        Guards against closing one under a message that lies unread: who sent it is owed an answer.
+        """
+        heard_ms = link.heard_ms
+        link.catch_up()
+        return link in self.held and not link.busy() and link.heard_ms == heard_ms
 
     def close(self, link: AcceptedLink) -> None:
-        link.transport.abortConnection()
+        """Close one once what was written on it is out; it counts as gone from now on."""
+        link.transport.loseConnection()
+        if link in self.held:
+            self.closing[link] = self.deadlines.clock.now_ms()
         self.remove(link)
 
     def remove(self, link: AcceptedLink) -> None:
@@ -190,11 +265,19 @@
             del self.held[link]
             link.left()
 
+    def ended(self, link: AcceptedLink) -> None:
+        """Its socket has closed."""
+        self.closing.pop(link, None)
+        self.remove(link)
+
     def look(self, _: object = None) -> None:
         """Close who has been silent or idle for too long, or does not finish a message."""
         now_ms = self.deadlines.clock.now_ms()
+        for link, since_ms in list(self.closing.items()):
+            if now_ms - since_ms > STALLED_MS:
+                link.transport.abortConnection()  # its peer does not read what is due to it
         for link in list(self.held):
-            if not link.heard_ms and now_ms - link.opened_ms > FIRST_MS:
+            if not link.heard_ms and now_ms - link.opened_ms > (SPARE_MS if link.spare else FIRST_MS):
                 self.tally.add(f"{self.kind}.silent")
             elif link.partial_ms and now_ms - link.partial_ms > FIRST_MS:
                 self.tally.add(f"{self.kind}.unfinished")
@@ -202,7 +285,8 @@
                 self.tally.add(f"{self.kind}.idle")
             else:
                 continue
-            self.close(link)
+            if self._still(link):
+                self.close(link)
         self.deadlines.at(now_ms + LOOK_MS, self.look)
 
 
@@ -239,10 +323,6 @@
             self.malformed(fault)
             return
         self._buffer = self.left_over(data[at:], begun=at > 0)
-        self.readEnded()
-
-    def readEnded(self) -> None:
-        """All messages of a read have been handed out."""
 
     def body_length(self, head: memoryview) -> int:
         raise NotImplementedError
--- a/leadslip/net/servers.py
+++ b/leadslip/net/servers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import struct
 from collections.abc import Callable
 
@@ -173,7 +174,10 @@
         return ServerLink(self.server)
 
     def clientConnectionFailed(self, connector: object, reason: object) -> None:
-        self.server.dial_failed(reason.check(error.ConnectionRefusedError) is not None)
+        if reason.check(error.ConnectBindError):
+            self.server.dial_impossible()
+        else:
+            self.server.dial_failed(reason.check(error.ConnectionRefusedError) is not None)
 
 
 class Server:
@@ -209,7 +213,13 @@
             self.waiting[call] = attempt
             self.dial()
             return None
-        if link.set_ups and len(self.up) < MOST_LINKS and self.state is face.ServerState.READY:
+        if (
+            link.set_ups
+            and len(self.up) < MOST_LINKS
+            and self.state is face.ServerState.READY
+            and not self.under_way()
+            and self.far.room()
+        ):
             # One spoilt answer ends all that is out on its connection: set-ups are spread over a few.
             self.dial()
         return self._set_up(link, call, attempt)
@@ -222,6 +232,8 @@
         if link.stalled_ms:
             # A machine that is cut off reads nothing: what it can't take must not pile up here.
             return face.Outcome.NO_CONNECTION
+        if not far.engine.wanted(attempt):
+            return face.Outcome.NOT_SENT if attempt.out else None
         left_ms = max(1, int(attempt.cut_at_ms - far.now_ms()))
         self.calls[call] = link.set_ups[call] = attempt
         self.on[call] = link
@@ -236,6 +248,7 @@
             )
         )
         if written:
+            link.flush()
             far.engine.written(attempt)
         return None
 
@@ -252,11 +265,9 @@
     def tell_release(self, call: bytes, link: ServerLink | None) -> None:
         """Release a call at the server, cause 16."""
         told = message(RELEASE, call, (CAUSE, bytes((NORMAL,))))
-        if link is None:
+        if link is None or not link.say(told):
             self.unsaid.append(told)  # else the call would stand on at the server
             self.dial()
-        else:
-            link.say(told)
 
     def release_unheld(self, call: bytes) -> None:
         """Release a call that is not held here, as one that another process set up."""
@@ -275,7 +286,7 @@
     # Connections.
 
     def dial(self) -> None:
-        if self.dialling or self.new is not None or self.state is face.ServerState.GONE:
+        if self.under_way() or self.state is face.ServerState.GONE:
             return
         self.dialling, self.dialled_ms = True, self.far.now_ms()
         host, port = self.address
@@ -317,8 +328,10 @@
         unsaid, self.unsaid = self.unsaid, []
         for told in unsaid:
             link.say(told)
-        waiting, self.waiting = self.waiting, {}
-        for call, attempt in waiting.items():
+        # One by one: what becomes of one may end others that wait, and those must not be sent.
+        while self.waiting and link in self.up:
+            call, attempt = next(iter(self.waiting.items()))
+            del self.waiting[call]
             if not self.far.engine.sent_to(self.uid):
                 outcome = face.Outcome.NO_CONNECTION  # told to drain while the connection came up
             else:
@@ -356,6 +369,13 @@
                 link.abort()
         self.far.tidy(self)
 
+    def dial_impossible(self) -> None:
+        """No socket could be had here: that tells nothing of the server, but what waits goes elsewhere."""
+        self.dialling = False
+        self.far.tally.add("servers.no_socket")
+        self._nothing_sent()
+        self.far.tidy(self)
+
     def _nothing_sent(self) -> None:
         """No connection came up: what waits for one goes elsewhere."""
         waiting, self.waiting = self.waiting, {}
@@ -412,6 +432,10 @@
     def links_open(self) -> list[ServerLink]:
         return self.up + ([self.new] if self.new is not None else [])
 
+    def under_way(self) -> bool:
+        """Whether a connection is being opened."""
+        return self.dialling or self.new is not None
+
     def _overtaken(self, attempt: Attempt) -> bool:
         """Whether a set-up sent later stands already."""
         return attempt.sent_ms + OVERTAKEN_MS < self.stood_ms
@@ -469,7 +493,7 @@
             self._cut_lost()
         if self.new is not None and now_ms - self.new.opened_ms > UP_MS:
             self._use(self.new)
-        if self.dialling or self.new is not None:
+        if self.under_way():
             return
         if self.owed_ms and now_ms >= self.owed_ms and self.dialled_ms < self.owed_ms:
             self.dial()
@@ -542,8 +566,10 @@
         dial_timeout_ms: float,
         unknown_end: Callable[[bytes, bool], None],
         deadlines: Deadlines,
+        most_links: float = math.inf,
     ) -> None:
         self.reactor, self.tally, self.now_ms = reactor, tally, now_ms
+        self.most_links = most_links  # connections to all servers, as the descriptors allow
         self.dial_timeout_s = dial_timeout_ms / 1000.0
         self.unknown_end, self.deadlines = unknown_end, deadlines
         self.servers: dict[str, Server] = {}
@@ -595,6 +621,16 @@
             server.look(now_ms)
         self.deadlines.at(now_ms + LOOK_MS, self.look)
 
+    def room(self) -> bool:
+        """Whether there is a descriptor for a connection that a server can do without.
+
+        Guards against running out of them where servers are many: each that has no connection keeps one to come.
+        """
+        used = sum(
+            max(1, len(held.up) + len(held.retired)) + held.under_way() for held in self.servers.values()
+        )
+        return used < self.most_links
+
     def listed_count(self) -> int:
         """Servers in the list: not told to be gone."""
         return sum(server.state is not face.ServerState.GONE for server in self.servers.values())
--- a/leadslip/request.py
+++ b/leadslip/request.py
@@ -83,3 +83,6 @@
     def failed(self, request: Request) -> None: ...
 
     def over(self, request: Request, cut: bool) -> None: ...
+
+    def catch_up(self, request: Request) -> None:
+        """Take what its asker has sent and is not read yet: it may have withdrawn the request, or gone."""
--- a/tests/standin_links.py
+++ b/tests/standin_links.py
@@ -40,6 +40,9 @@
     def write(self, data: bytes) -> None:
         self.server.later(RTT_MS / 2, self._arrive, bytes(data))
 
+    def doWrite(self) -> None:  # noqa: N802
+        """What is written leaves at once."""
+
     def loseWriteConnection(self) -> None:  # noqa: N802
         self.server.later(RTT_MS / 2, self.server.half_closed, self)
 
--- a/tests/standin_trunks.py
+++ b/tests/standin_trunks.py
@@ -154,6 +154,9 @@
     def over(self, request: core.Request, cut: bool) -> None:
         """Its caller has spoken."""
 
+    def catch_up(self, request: core.Request) -> None:
+        """It says nothing more."""
+
 
 def site(
     sizes: list[int], hold_s: float, seed: int, watcher: core.Watcher | None = None
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -49,6 +49,9 @@
     def over(self, request, cut):
         self.told.append(("over", request.id, cut))
 
+    def catch_up(self, request):
+        """Its callers say nothing behind its back."""
+
     def offer(self, id_="a", left_ms=2000.0, to=0):
         request = core.Request(id_, PLAIN, self.now_ms() + left_ms, self, b"c=offer")
         request.destination = to
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -25,7 +25,30 @@
 
 
 class Transport(StringTransport):
-    """A transport that only remembers."""
+    """A transport that only remembers; `unread` lies in its socket, and None there is the end of the connection."""
+
+    flushed = 0
+
+    def __init__(self):
+        super().__init__()
+        self.unread = []
+
+    def getHandle(self):  # noqa: N802
+        return self
+
+    def recv(self, size):
+        if not self.unread:
+            raise BlockingIOError
+        if self.unread[0] is None:
+            return b""
+        return self.unread.pop(0)
+
+    def doWrite(self):  # noqa: N802
+        self.flushed = len(self.value())
+
+    def connectionLost(self, reason):  # noqa: N802
+        self.disconnecting = True
+        self.producer.connectionLost(reason)
 
     def setTcpNoDelay(self, on):  # noqa: N802
         self.no_delay = on
--- /dev/null
+++ b/tests/test_shutdown.py
@@ -0,0 +1,170 @@
+"""The program's end and its shortage of descriptors, over sockets: signals that cross what is under way."""
+
+import os
+import resource
+import signal
+import socket
+import subprocess
+import sys
+
+import pytest
+
+from leadslip.readiness import Readiness
+from tests.standins import (
+    HOST,
+    PATIENCE_S,
+    ROOT,
+    Board,
+    Caller,
+    Listener,
+    Program,
+    SetupServer,
+    notice,
+    settings,
+    wait_for,
+)
+from tests.test_program import FIRST, SECOND
+
+SHORT = {"name": "plain", "gain": 1.0, "late_worth": 0.2, "aim_ms": 500.0, "deadline_ms": 600.0}
+
+
+@pytest.fixture
+def start(tmp_path):
+    started = []
+
+    def begin(*behaviours, **more):
+        servers = [SetupServer(behaviour) for behaviour in behaviours]
+        started.append(Program(tmp_path, {f"s{i}": s.address for i, s in enumerate(servers)}, **more))
+        return started[-1], servers
+
+    yield begin
+    for program in started:
+        code = program.stop()
+        assert code == 0 and "Traceback" not in "".join(program.log), program.log
+        assert not [name for name in program.counts() if name.startswith("broken")]
+
+
+def set_ups(server):
+    return [call.hex() for kind, call, _ in server.heard if kind == 1]
+
+
+def test_what_comes_after_the_last_answer_is_taken_no_more(start):
+    program, (server, other) = start("silent", "hold", settings=settings(services=[SHORT]))
+    caller = Caller(program)
+    caller.invite(FIRST, expires=5000)  # longer than the process lives
+    wait_for(lambda: set_ups(server) == [FIRST])
+    program.process.terminate()
+    assert caller.hear()[0] == "SIP/2.0 500 Server Internal Error"
+    try:
+        caller.invite(SECOND, expires=5000, dest=1)
+        assert caller.hear()[0] in ("SIP/2.0 503 Service Unavailable", ""), (
+            "refused, or closed before it is taken"
+        )
+    except (ConnectionResetError, BrokenPipeError):
+        pass  # it crossed the close
+    assert program.process.wait(PATIENCE_S) == 0
+    assert set_ups(server) == [FIRST] and set_ups(other) == []
+
+
+def test_an_answer_that_a_caller_is_slow_to_read_is_out_before_the_connection_ends(start):
+    """Many calls on one connection, whose caller reads nothing until the process has ended."""
+    program, (server,) = start("silent", settings=settings(services=[SHORT]))
+    caller = Caller(program)
+    ids = [f"{i:016x}" for i in range(200)]
+    for id_ in ids:
+        caller.invite(id_, expires=5000)
+    wait_for(lambda: "requests" in program.counts() or server.heard)
+    program.process.terminate()
+    assert program.process.wait(PATIENCE_S) == 0
+    answered = set()
+    while (message := caller.hear())[0]:
+        if message[0].startswith("SIP/2.0 "):
+            answered.add(message[1]["Call-ID"])
+    assert answered == set(ids), "each has one final answer, and the connection ends in order"
+
+
+def test_signals_that_cross_the_drain_change_nothing_of_its_end(start):
+    program, (server,) = start("silent", settings=settings(services=[SHORT]))
+    caller = Caller(program)
+    caller.invite(FIRST, expires=5000)
+    wait_for(lambda: set_ups(server))
+    program.process.terminate()
+    wait_for(lambda: any(" draining" in line for line in program.log))
+    program.process.terminate()
+    # Its deadlines are longer than those at the signal, by which the kill may come.
+    assert "reload.taken" in program.reload(board=Board().address, settings=settings())
+    program.process.terminate()
+    assert caller.hear()[0] == "SIP/2.0 500 Server Internal Error"
+    assert program.process.wait(PATIENCE_S) == 0
+
+
+def test_the_last_answers_go_by_the_shorter_deadline_of_the_signal_and_of_a_reload_since():
+    told = Readiness(listening=True)
+    told.end(10_000.0, longest_ms=600.0)
+    assert told.last_ms(600.0) == told.last_ms(9000.0) == 11_100.0
+    assert told.last_ms(300.0) == 10_800.0
+    longer = Readiness(listening=True)
+    longer.end(10_000.0, longest_ms=9000.0)
+    assert longer.last_ms(9000.0) == 13_500.0, "3 s of it count at the most"
+
+
+class Mute(Listener):
+    """A board that takes connections and never answers."""
+
+    def serve(self, link):
+        while link.recv(4096):
+            pass
+
+
+def test_a_drain_does_not_wait_for_a_board_that_says_nothing(start):
+    mute = Mute()
+    program, _ = start("answer", board=mute.address, settings=settings(services=[SHORT]))
+    wait_for(lambda: mute.links)
+    caller = Caller(program)
+    caller.invite(FIRST)
+    assert caller.hear()[0] == "SIP/2.0 200 OK"
+
+
+def test_a_signal_before_it_serves_ends_the_program_in_order(tmp_path):
+    """Held in the reading of its configuration, from a pipe to which nobody writes yet."""
+    pipe = tmp_path / "config.json"
+    os.mkfifo(pipe)
+    process = subprocess.Popen(
+        [sys.executable, "-O", "-m", "leadslip"],
+        cwd=ROOT,
+        env=os.environ | {"NODE_CONFIG": str(pipe)},
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+    with open(pipe, "w") as held:  # returns once the program has opened its end: its signals are hooked
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(PATIENCE_S) == 0 and process.stderr.read() == ""
+        assert not held.closed
+
+
+def test_idle_callers_leave_descriptors_for_the_board_the_servers_and_operators(start):
+    """Far more idle callers than descriptors, while the board is down; then it comes back and tells of a server."""
+    limit = 96
+    program, (first,) = start("answer", limits={"sockets": limit}, ops=f"{HOST}:0")
+    wait_for(lambda: program.board.polls)
+    resource.prlimit(program.process.pid, resource.RLIMIT_NOFILE, (limit, limit))
+    port, second = program.board.port, SetupServer("answer")
+    for link in program.board.links:
+        link.shutdown(socket.SHUT_RDWR)
+    program.board.die()
+    idle = []
+    for _ in range(3 * limit):
+        idle.append(socket.create_connection(program.listen, timeout=PATIENCE_S))
+    used = len(os.listdir(f"/proc/{program.process.pid}/fd"))
+    assert used < limit, "some are left while they are all there"
+    board = Board.__new__(Board)
+    board.events, board.polls = [(2, notice(2, ("s1", second.address, "active")))], []
+    Listener.__init__(board, port)
+    wait_for(lambda: second.links)
+    assert program.call("GET", "/control/ready") == (200, b"ready\n")
+    caller = Caller(program)
+    caller.invite(FIRST)
+    assert caller.hear()[0] == "SIP/2.0 200 OK"
+    assert set_ups(first) == [FIRST]
+    for link in idle:
+        link.close()
