No set-up waits behind a connection that the system takes no more on

Now a link that holds anything the system did not take gets no set-up, and one whose caller leaves meanwhile takes the connection with it. Also: a drain while a board is dialled that neither refuses nor takes, and files, board and servers under three times as many idle callers as descriptors, over sockets.

--- a/leadslip/net/links.py
+++ b/leadslip/net/links.py
@@ -117,6 +117,10 @@
         if not self.transport.disconnecting:
             self.transport.doWrite()  # an error of it is met again at that turn, and handled there
 
+    def blocked(self) -> bool:
+        """Whether the system took no more at the last flush: what is written now would wait here."""
+        return bool(self.stalled_ms or self.transport.dataBuffer)
+
     def malformed(self, fault: MessageError) -> None:
         self.tally.add(f"{self.peer_kind}.malformed")
         self.transport.abortConnection()
--- a/leadslip/net/servers.py
+++ b/leadslip/net/servers.py
@@ -225,11 +225,11 @@
         return self._set_up(link, call, attempt)
 
     def _least_used(self) -> ServerLink | None:
-        return min(self.up, key=lambda link: len(link.set_ups), default=None)
+        return min(self.up, key=lambda link: (link.blocked(), len(link.set_ups)), default=None)
 
     def _set_up(self, link: ServerLink, call: bytes, attempt: Attempt) -> face.Outcome | None:
         request, far = attempt.request, self.far
-        if link.stalled_ms:
+        if link.blocked():
             # A machine that is cut off reads nothing: what it can't take must not pile up here.
             return face.Outcome.NO_CONNECTION
         if not far.engine.wanted(attempt):
@@ -259,7 +259,11 @@
             on = self.on.get(call)
             out = on is not None and call in on.set_ups
             if self._drop(call) is not None:
-                self.tell_release(call, on if out else self._least_used())
+                if out and on.blocked():
+                    # Guards against a set-up that leaves, its release behind it, when nobody wants it any more.
+                    on.abort()
+                else:
+                    self.tell_release(call, on if out else self._least_used())
         self.far.tidy(self)
 
     def tell_release(self, call: bytes, link: ServerLink | None) -> None:
--- a/tests/standin_links.py
+++ b/tests/standin_links.py
@@ -40,6 +40,8 @@
     def write(self, data: bytes) -> None:
         self.server.later(RTT_MS / 2, self._arrive, bytes(data))
 
+    dataBuffer = b""  # noqa: N815 (Twisted's name)
+
     def doWrite(self) -> None:  # noqa: N802
         """What is written leaves at once."""
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -28,6 +28,7 @@
     """A transport that only remembers; `unread` lies in its socket, and None there is the end of the connection."""
 
     flushed = 0
+    dataBuffer = b""  # noqa: N815 (Twisted's name): what the system did not take
 
     def __init__(self):
         super().__init__()
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -231,3 +231,24 @@
     world.engine.hang_up(request)
     link.connectionLost()
     assert binary(12, bytes.fromhex(ID), (61, b"\x10")) in up(link.server).transport.value()
+
+
+def test_a_set_up_does_not_wait_behind_what_the_system_does_not_take():
+    world, blocked = server_link()
+    other = up(blocked.server)
+    blocked.transport.dataBuffer = b"the rest of an earlier one"
+    world.offer(ID)
+    assert (set_up(blocked), set_up(other)) == (0, 1)
+    other.transport.dataBuffer = b"and here"
+    world.offer(OTHER)
+    assert (set_up(blocked, OTHER), set_up(other, OTHER)) == (0, 0)
+    assert world.tally.counts["attempts.no_connection"] == 2, "here, and at the one that has no connection"
+
+
+def test_a_set_up_that_the_system_has_not_taken_goes_no_more_once_its_caller_has_left():
+    world, link = server_link()
+    request = world.offer(ID)
+    link.transport.dataBuffer = b"the rest of it"
+    world.engine.cancel(request)
+    assert link.transport.disconnecting and link.server.up == []
+    assert not link.transport.value().endswith(binary(12, bytes.fromhex(ID), (61, b"\x10")))
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -116,8 +116,23 @@
             pass
 
 
-def test_a_drain_does_not_wait_for_a_board_that_says_nothing(start):
-    mute = Mute()
+class Full:
+    """A board whose queue is full: to dial it is neither refused nor taken."""
+
+    def __init__(self):
+        self.socket = socket.socket()
+        self.socket.bind((HOST, 0))
+        self.socket.listen(0)
+        self.address = f"{HOST}:{self.socket.getsockname()[1]}"
+        self.links = [socket.socket() for _ in range(4)]
+        for link in self.links:
+            link.setblocking(False)
+            link.connect_ex(self.socket.getsockname())
+
+
+@pytest.mark.parametrize("board", [Mute, Full])
+def test_a_drain_does_not_wait_for_a_board_that_says_nothing_or_is_being_dialled(start, board):
+    mute = board()
     program, _ = start("answer", board=mute.address, settings=settings(services=[SHORT]))
     wait_for(lambda: mute.links)
     caller = Caller(program)
@@ -143,12 +158,12 @@
 
 
 def test_idle_callers_leave_descriptors_for_the_board_the_servers_and_operators(start):
-    """Far more idle callers than descriptors, while the board is down; then it comes back and tells of a server."""
+    """Far more idle callers than descriptors, while the board is down; then it is moved and tells of servers."""
     limit = 96
     program, (first,) = start("answer", limits={"sockets": limit}, ops=f"{HOST}:0")
     wait_for(lambda: program.board.polls)
     resource.prlimit(program.process.pid, resource.RLIMIT_NOFILE, (limit, limit))
-    port, second = program.board.port, SetupServer("answer")
+    second, third = SetupServer("answer"), SetupServer("answer")
     for link in program.board.links:
         link.shutdown(socket.SHUT_RDWR)
     program.board.die()
@@ -157,10 +172,12 @@
         idle.append(socket.create_connection(program.listen, timeout=PATIENCE_S))
     used = len(os.listdir(f"/proc/{program.process.pid}/fd"))
     assert used < limit, "some are left while they are all there"
-    board = Board.__new__(Board)
-    board.events, board.polls = [(2, notice(2, ("s1", second.address, "active")))], []
-    Listener.__init__(board, port)
+    moved = Board()
+    moved.events.append((2, notice(2, ("s1", second.address, "active"))))
+    assert "reload.taken" in program.reload(board=moved.address), "a file can be opened"
     wait_for(lambda: second.links)
+    moved.events.append((3, notice(3, ("s2", third.address, "active"))))
+    wait_for(lambda: third.links)
     assert program.call("GET", "/control/ready") == (200, b"ready\n")
     caller = Caller(program)
     caller.invite(FIRST)
