--- a/leadslip/net/links.py
+++ b/leadslip/net/links.py
@@ -26,7 +26,7 @@
 LOOK_MS = 200.0  # between two looks at the connections taken
 STALLED_MS = 2000.0  # for so long a peer may leave what we wrote unread
 SPARE_MS = 500.0  # so long a connection beyond the bound has to say what it is told to come again with
-READ = 64 * 1024  # bytes of one read, as Twisted's
+READ = 64 * 1024  # bytes of one read, as Twisted's; and of all that is taken from a connection in one turn
 READS_ON = 4  # reads that may follow on one before what came of it is offered
 
 
@@ -125,10 +125,10 @@
         self.tally.add(f"{self.peer_kind}.malformed")
         self.transport.abortConnection()
 
-    def receive(self) -> bytes | None:
+    def receive(self, most: int = READ) -> bytes | None:
         """What waits in the socket, not read yet; empty where the connection has ended, None where nothing waits."""
         try:
-            return self.transport.getHandle().recv(READ)
+            return self.transport.getHandle().recv(most)
         except BlockingIOError:
             return None
         except OSError:  # reset
@@ -156,18 +156,24 @@
     def dataReceived(self, data: bytes) -> None:
         """Take a read and, where requests have come of it, whatever follows it already; then let them be offered.
 
-        Guards against servers working on requests withdrawn or left since: what tells it may lie right behind.
+        Guards against servers working on requests withdrawn or left since: what tells it may lie right behind. In all
+        no more is taken than one read may bring, so that a flood does not hold up everybody else for longer.
         """
         self.reading = True
+        left = READ - len(data)
         try:
             super().dataReceived(data)
             for _ in range(READS_ON):
-                more = self.receive() if self.asking() and self in self.accepted.held else None
-                if more:
-                    super().dataReceived(more)
-                elif more is not None:
+                if left <= 0 or not self.asking() or self not in self.accepted.held:
+                    break
+                more = self.receive(left)
+                if more is None:
+                    break
+                if not more:
                     self.accepted.close(self)
                     return
+                left -= len(more)
+                super().dataReceived(more)
             self.read()
         finally:
             self.reading = False
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -4,7 +4,7 @@
 
 from leadslip import interface as face
 from leadslip.net.clients import Clients
-from leadslip.net.links import SPARE_MS, STALLED_MS
+from leadslip.net.links import READ, SPARE_MS, STALLED_MS
 from leadslip.net.servers import Server
 from leadslip.readiness import Readiness
 from tests.standins import binary
@@ -252,3 +252,20 @@
     world.engine.cancel(request)
     assert link.transport.disconnecting and link.server.up == []
     assert not link.transport.value().endswith(binary(12, bytes.fromhex(ID), (61, b"\x10")))
+
+
+def test_a_flood_takes_no_more_of_a_turn_than_one_read():
+    world, _ = server_link()
+    _, (caller,) = callers(world, 1)
+    ids = iter(range(100_000))
+    read = b"".join(invite(f"{next(ids):016x}") for _ in range(100))
+    caller.transport.unread += [b"".join(invite(f"{next(ids):016x}") for _ in range(100)) for _ in range(100)]
+    taken = []
+    receive = caller.receive
+    caller.receive = lambda most: taken.append(most) or receive(most)
+    caller.dataReceived(read)
+    assert taken[0] == READ - len(read) and all(most > 0 for most in taken) and len(taken) <= 4
+    before = len(taken)
+    last = invite(f"{next(ids):016x}")
+    caller.dataReceived(b"\r\n" * ((READ - len(last)) // 2 + 1) + last)
+    assert len(taken) == before, "a read that was full is all of its turn"
