--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -269,3 +269,22 @@
     last = invite(f"{next(ids):016x}")
     caller.dataReceived(b"\r\n" * ((READ - len(last)) // 2 + 1) + last)
     assert len(taken) == before, "a read that was full is all of its turn"
+
+
+ANSWERED = binary(9, bytes.fromhex(ID), (63, b"sdp"))
+
+
+@pytest.mark.parametrize("at", range(len(ANSWERED) + 1))
+def test_an_answer_cut_at_any_byte_is_one_once_it_is_whole_and_none_where_the_connection_ends(at):
+    world, link = server_link()
+    world.offer(ID)
+    link.dataReceived(ANSWERED[:at])
+    assert world.told == ([("stands", ID, b"sdp")] if at == len(ANSWERED) else [])
+    link.dataReceived(ANSWERED[at:])
+    assert world.told == [("stands", ID, b"sdp")]
+    other, broken = server_link()
+    other.offer(ID)
+    broken.dataReceived(ANSWERED[:at])
+    broken.connectionLost()
+    whole = at == len(ANSWERED)
+    assert other.tally.counts["attempts.cut"] == (not whole) and len(other.told) == whole
