--- /dev/null
+++ b/tests/test_drain.py
@@ -0,0 +1,134 @@
+"""Drains of a running proxy whose callers keep using their open connections."""
+
+import contextlib
+import threading
+import time
+
+import pytest
+
+from tests.standins import HOST, Caller, Program, SetupServer, encode_message, settings
+
+# The protocol's limits after PUT /control/out-of-service. At the first one no caller's connection may be open that is
+# idle, or has an open request that was sent within the second one.
+DRAIN_LIMIT_S = 4.05
+RECENT_REQUEST_S = 2.0
+ANSWER_DELAY_S = 0.12
+CALL_DURATION_S = 1.5
+RELEASE_LIMIT_S = 1.05
+
+
+class DelayedServer(SetupServer):
+    """A setup server that answers each set-up after `answer_delay_s` and releases the call `call_duration_s` later."""
+
+    def __init__(self, answer_delay_s=ANSWER_DELAY_S, call_duration_s=CALL_DURATION_S):
+        self.answer_delay_s, self.call_duration_s = answer_delay_s, call_duration_s
+        self.released_at = {}
+        super().__init__()
+
+    def report(self):
+        return b"x0:5000;x1:5000"
+
+    def answer(self, connection, call, fields):
+        def establish():
+            with contextlib.suppress(OSError):
+                connection.sendall(encode_message(9, call, (63, b"v=answer")))
+
+        def release():
+            self.released_at[call.hex()] = time.monotonic()
+            with contextlib.suppress(OSError):
+                connection.sendall(encode_message(12, call, (61, b"\x10")))
+
+        threading.Timer(self.answer_delay_s, establish).start()
+        threading.Timer(self.answer_delay_s + self.call_duration_s, release).start()
+
+
+class PersistentCaller(Caller):
+    """A caller that keeps sending set-ups on its one connection until the proxy closes it.
+
+    `sent_at` and `answers` are by call id; `established` has the calls that the proxy has not released yet.
+    """
+
+    def __init__(self, program, number, interval_s, expires_ms=1600):
+        super().__init__(program)
+        self.number, self.interval_s, self.expires_ms = number, interval_s, expires_ms
+        self.sent_at, self.answers, self.released_at = {}, {}, {}
+        self.established = set()
+        self.closed_at = None
+        self.threads = [
+            threading.Thread(target=target, daemon=True) for target in (self._send, self._receive)
+        ]
+        for thread in self.threads:
+            thread.start()
+
+    def _send(self):
+        with contextlib.suppress(OSError):
+            while self.closed_at is None:
+                id_ = f"{self.number:08x}{len(self.sent_at):08x}"
+                self.sent_at[id_] = time.monotonic()
+                self.invite(id_, expires=self.expires_ms)
+                time.sleep(self.interval_s)
+
+    def _receive(self):
+        with contextlib.suppress(OSError):
+            while (message := self.receive())[0]:
+                start_line, headers, _ = message
+                id_ = headers["Call-ID"]
+                if start_line.startswith("BYE "):
+                    self.released_at[id_] = time.monotonic()
+                    self.established.discard(id_)
+                    self.socket.sendall(
+                        f"SIP/2.0 200 OK\r\nCall-ID: {id_}\r\nCSeq: 2 BYE\r\nContent-Length: 0\r\n\r\n".encode()
+                    )
+                elif headers["CSeq"] == "1 INVITE":
+                    if start_line.startswith("SIP/2.0 200"):
+                        self.established.add(id_)
+                    self.answers[id_] = start_line
+        self.closed_at = time.monotonic()
+
+    def breach(self, now):
+        """Returns how this connection breaks the drain's rule at its limit, or an empty string."""
+        if self.closed_at is not None:
+            return ""
+        open_ids = self.sent_at.keys() - self.answers.keys()
+        recent = [id_ for id_ in open_ids if now - self.sent_at[id_] < RECENT_REQUEST_S]
+        if recent:
+            return f"held with {len(recent)} requests of the last 2 s"
+        return "" if open_ids or self.established else "held idle"
+
+
+@pytest.fixture
+def start(tmp_path):
+    """A function that starts the proxy with the given setup servers; checks its exit after the test."""
+    started = []
+
+    def start_program(*servers, **options):
+        addresses = {f"s{i}": server.address for i, server in enumerate(servers)}
+        started.append(Program(tmp_path, addresses, ops=f"{HOST}:0", **options))
+        return started[-1]
+
+    yield start_program
+    for program in started:
+        assert program.stop() == 0 and "Traceback" not in "".join(program.log), program.log
+        assert not [name for name in program.counts() if name.startswith("broken")]
+
+
+def test_a_drain_holds_no_recent_request_though_callers_keep_using_their_connections(start):
+    """Guards against a drain that waits for a pause between calls, which steady callers never make."""
+    server = DelayedServer()
+    program = start(server, settings=settings(tick_ms=5.0))
+    callers = [PersistentCaller(program, i, interval_s=0.04) for i in range(4)]
+    time.sleep(1.0)
+    assert program.http_request("PUT", "/control/out-of-service")[0] == 200
+    drained_at = time.monotonic()
+    time.sleep(drained_at + DRAIN_LIMIT_S - time.monotonic())
+    now = time.monotonic()
+    assert [breach for caller in callers if (breach := caller.breach(now))] == []
+    for thread in (thread for caller in callers for thread in caller.threads):
+        thread.join(CALL_DURATION_S + RELEASE_LIMIT_S)
+    for caller in callers:
+        last_id = max(caller.sent_at, key=caller.sent_at.get)
+        unanswered = caller.sent_at.keys() - caller.answers.keys() - {last_id}
+        assert not unanswered, "only the set-up that crosses the close may stay without an answer"
+        assert not caller.established, "each call is released on a connection that stays open for it"
+        for id_, released_at in caller.released_at.items():
+            assert released_at - server.released_at[id_] < RELEASE_LIMIT_S
