Log why requests are refused or failed, and why callers' connections close

Each refusal and failure that neither the Controller nor a server decided now has a reason (counts answers.REASON, on by default). At level debug, off by default, the log has each end of an attempt, each answer with id, class, reason and times, and each close of a caller's connection with its reason. InboundConnections counts the reason where it closes.

--- a/leadslip/core.py
+++ b/leadslip/core.py
@@ -19,7 +19,7 @@
 from leadslip.filters import Chain
 from leadslip.logs import Log
 from leadslip.metrics import Metrics
-from leadslip.request import Attempt, Request, State
+from leadslip.request import AnswerReason, Attempt, Request, State
 
 # After these outcomes the server may still be releasing the attempt's resources; the next attempt waits.
 RELEASE_WAIT_OUTCOMES = (interface.Outcome.TIMED_OUT, interface.Outcome.CUT, interface.Outcome.WITHDRAWN)
@@ -176,8 +176,8 @@
 
     # Called by the downstream side.
 
-    def offer(self, request: Request, has_capacity: bool = True) -> None:
-        """Take over a request; its `downstream` gets one final answer. Without `has_capacity` it is refused at once."""
+    def offer(self, request: Request, refusal: AnswerReason = AnswerReason.NONE) -> None:
+        """Take over a request; its `downstream` gets one final answer. With a `refusal` it is refused at once."""
         now_ms = request.received_at_ms = self.clock.now_ms()
         request.max_attempts = self.settings.max_attempts
         self.metrics.add("requests")
@@ -189,14 +189,17 @@
             request.downstream.on_failed(request)
             return
         self.open_requests[request.id] = request
-        if self.stopped or not has_capacity or len(self.open_requests) > self.max_open_requests:
-            self.metrics.add("requests.after_the_end" if self.stopped else "requests.over_most_held")
-            self._refuse(request, 0.0)
+        if self.stopped:
+            refusal = AnswerReason.SHUTTING_DOWN
+        elif refusal is AnswerReason.NONE and len(self.open_requests) > self.max_open_requests:
+            refusal = AnswerReason.OVER_REQUESTS
+        if refusal is not AnswerReason.NONE:
+            self._refuse(request, 0.0, refusal)
             return
         if self.chain.filters:
-            refusal = self.chain.admit(request, now_ms)
-            if refusal is not None:
-                self._refuse(request, refusal.pause_ms)
+            refusal_by_filter = self.chain.admit(request, now_ms)
+            if refusal_by_filter is not None:
+                self._refuse(request, refusal_by_filter.pause_ms, AnswerReason.FILTERED)
                 return
         # Prevents a request from staying unanswered if the Controller never decides about it.
         request.overall_deadline = self.deadlines.call_at(
@@ -285,7 +288,7 @@
             return
         if request.state is State.OPEN:
             self.metrics.add("requests.spent")
-            self._fail(request)
+            self._fail(request, AnswerReason.ANSWER_LOST)
             self._dispatch(interface.CallerLeft(request.id))
         self.on_attempt_ended(attempt, interface.Outcome.CUT)
 
@@ -442,7 +445,7 @@
         if request.state is not State.OPEN:
             return
         self.metrics.add("requests.overdue")
-        self._fail(request)
+        self._fail(request, AnswerReason.SHUTTING_DOWN if self.stopped else AnswerReason.OVERDUE)
         self._dispatch(interface.CallerLeft(request.id))
         if request.attempt is not None:
             self.on_attempt_ended(request.attempt, interface.Outcome.TIMED_OUT)
@@ -459,22 +462,30 @@
         if request.admitted_by:
             self.chain.ended(request, self.clock.now_ms())
 
-    def _refuse(self, request: Request, pause_ms: float) -> None:
+    def _refuse(self, request: Request, pause_ms: float, reason: AnswerReason = AnswerReason.NONE) -> None:
         self._mark_closed(request)
+        self._record_reason(request, reason)
         self._notify_filters_ended(request)
         self.metrics.add("answers.refused")
         self.counters.count_answer(request.call_class, "shed")
         self._notify_observer(request, "refused")
         request.downstream.on_refused(request, min(max(pause_ms, 0.0), self.settings.max_pause_ms))
 
-    def _fail(self, request: Request) -> None:
+    def _fail(self, request: Request, reason: AnswerReason = AnswerReason.NONE) -> None:
         self._mark_closed(request)
+        self._record_reason(request, reason)
         self._notify_filters_ended(request)
         self.metrics.add("answers.failed")
         self.counters.count_answer(request.call_class, "errors")
         self._notify_observer(request, "failed")
         request.downstream.on_failed(request)
 
+    def _record_reason(self, request: Request, reason: AnswerReason) -> None:
+        """Record why a request gets no result of a server; each reason has a count of its own in the log."""
+        request.answer_reason = reason
+        if reason is not AnswerReason.NONE:
+            self.metrics.add(f"answers.{reason.value}")
+
     def _notify_observer(self, request: Request, answer: str) -> None:
         if self.observer is not None:
             self.observer.request_answered(request, answer, self.clock.now_ms())
--- a/leadslip/net/clients.py
+++ b/leadslip/net/clients.py
@@ -12,6 +12,7 @@
 from leadslip.metrics import Metrics
 from leadslip.net.connections import InboundConnection, InboundConnections, MessageError, TextMessageReceiver
 from leadslip.readiness import Readiness
+from leadslip.request import AnswerReason
 
 HEADER = re.compile(rb"([!-9;-~]+)[ \t]*:[ \t]*([^\r\n]*)\r\n")
 START_LINE = re.compile(
@@ -74,6 +75,8 @@
 
     def malformed(self, failure: MessageError) -> None:
         super().malformed(failure)
+        if self in self.inbound.open:
+            self.inbound.log_closed(self, f"malformed: {failure}")
         self.inbound.remove(self)
 
     def body_length(self, head: memoryview) -> int:
@@ -91,10 +94,11 @@
         # cancelled in the same read, or followed by a malformed message. `overflow`: the connection was accepted over
         # the limit, so that its requests are refused; it is closed after its first message.
         new_requests, self.new_requests = self.new_requests, {}
+        refusal = AnswerReason.OVER_CONNECTIONS if self.overflow else AnswerReason.NONE
         for request in new_requests.values():
-            self.downstream.engine.offer(request, has_capacity=not self.overflow)
+            self.downstream.engine.offer(request, refusal)
         if self.overflow and self.last_received_ms:
-            self.inbound.close(self)
+            self.inbound.close(self, "over_limit")
 
     def messageReceived(self, head: memoryview, body: memoryview) -> None:
         self.message_received()
@@ -263,7 +267,9 @@
         self, engine: Engine, metrics: Metrics, max_connections: int, readiness: Readiness, overflow: int = 0
     ) -> None:
         self.engine, self.metrics, self.readiness = engine, metrics, readiness
-        self.inbound = InboundConnections(metrics, "clients", max_connections, engine.deadlines, overflow)
+        self.inbound = InboundConnections(
+            metrics, "clients", max_connections, engine.deadlines, overflow, engine.log
+        )
         self.connections = self.inbound.open
         self.unsent_releases: dict[str, None] = {}  # ids of calls whose release waits for a connection
         self.draining = False  # whether the check that closes connections without calls is scheduled
@@ -360,7 +366,7 @@
         for connection in list(self.connections):
             connection.read_pending()
             if connection in self.connections:
-                self.inbound.close(connection)
+                self.inbound.close(connection, "shutdown")
         return not self.inbound.closing
 
     def read_pending(self, request: Request) -> None:
--- a/leadslip/net/connections.py
+++ b/leadslip/net/connections.py
@@ -18,6 +18,7 @@
 from zope.interface import implementer
 
 from leadslip.core import Deadlines
+from leadslip.logs import Log, discard
 from leadslip.metrics import Metrics
 
 MAX_MESSAGE_BYTES = 16 * 1024  # the protocol's limit
@@ -147,9 +148,12 @@
     last_received_ms = 0.0  # when the last complete message arrived; 0: none yet
     processing_read = False  # dataReceived is running
     overflow = False  # accepted over the limit: its requests are refused, and it is closed
+    peer_name = ""  # the peer's address and port, for the log
 
     def connectionMade(self) -> None:
         self.opened_ms = self.now_ms()
+        peer = self.transport.getPeer()
+        self.peer_name = f"{peer.host}:{peer.port}"
         self.overflow = len(self.inbound.open) >= self.inbound.max_connections
         self.inbound.open[self] = self.inbound.no_message_yet[self] = None
         super().connectionMade()
@@ -175,7 +179,7 @@
                 if more is None:
                     break
                 if not more:
-                    self.inbound.close(self)
+                    self.inbound.close(self, "ended")
                     return
                 left -= len(more)
                 super().dataReceived(more)
@@ -198,7 +202,7 @@
         if data:
             self.dataReceived(data)
         elif data is not None:
-            self.inbound.close(self)
+            self.inbound.close(self, "ended")
 
     def message_received(self) -> None:
         """Records that a complete message has arrived."""
@@ -225,8 +229,15 @@
     """
 
     def __init__(
-        self, metrics: Metrics, peer_kind: str, max_connections: int, deadlines: Deadlines, overflow: int = 0
+        self,
+        metrics: Metrics,
+        peer_kind: str,
+        max_connections: int,
+        deadlines: Deadlines,
+        overflow: int = 0,
+        log: Log = discard,
     ) -> None:
+        self.log = log
         self.metrics, self.peer_kind, self.max_connections, self.deadlines, self.overflow = (
             metrics,
             peer_kind,
@@ -248,9 +259,11 @@
         if candidate is not None and not candidate.last_received_ms:
             # Frees the descriptor now rather than in the reactor's next turn. Prevents running out of descriptors
             # when hundreds of clients connect in one turn.
+            self.log_closed(candidate, "over_limit")
+            self.remove(candidate)
             candidate.transport.connectionLost(Failure(error.ConnectionAborted()))
         elif candidate is not None:
-            self.close(candidate)
+            self.close(candidate, "over_limit")
         return len(self.open) + len(self.closing) < self.max_connections + self.overflow
 
     def _eviction_candidate(self) -> InboundConnection | None:
@@ -282,13 +295,27 @@
             and connection.last_received_ms == last_received_ms
         )
 
-    def close(self, connection: InboundConnection) -> None:
+    def close(self, connection: InboundConnection, reason: str) -> None:
         """Closes a connection once its write buffer is sent; from now on it does not count as open."""
+        if connection in self.open:
+            self.log_closed(connection, reason)
         connection.transport.loseConnection()
         if connection in self.open:
             self.closing[connection] = self.deadlines.clock.now_ms()
         self.remove(connection)
 
+    def log_closed(self, connection: InboundConnection, reason: str) -> None:
+        """Logs at level `debug` why an open connection is closed."""
+        now_ms = self.deadlines.clock.now_ms()
+        self.log(
+            f"{self.peer_kind}.closed",
+            level="debug",
+            reason=reason,
+            peer=connection.peer_name,
+            open_ms=round(now_ms - connection.opened_ms),
+            awaits_answer=connection.awaits_answer(),
+        )
+
     def remove(self, connection: InboundConnection) -> None:
         """Removes a connection from the open ones; calls its `on_closed` once."""
         self.no_message_yet.pop(connection, None)
@@ -298,6 +325,8 @@
 
     def connection_closed(self, connection: InboundConnection) -> None:
         """Called when the socket has closed."""
+        if connection in self.open:
+            self.log_closed(connection, "ended")
         self.closing.pop(connection, None)
         self.remove(connection)
 
@@ -311,22 +340,23 @@
             if not connection.last_received_ms and now_ms - connection.opened_ms > (
                 OVERFLOW_TIMEOUT_MS if connection.overflow else FIRST_MESSAGE_TIMEOUT_MS
             ):
-                self.metrics.add(f"{self.peer_kind}.silent")
+                reason = "silent"
             elif (
                 connection.partial_since_ms
                 and now_ms - connection.partial_since_ms > FIRST_MESSAGE_TIMEOUT_MS
             ):
-                self.metrics.add(f"{self.peer_kind}.unfinished")
+                reason = "unfinished"
             elif (
                 connection.last_received_ms
                 and now_ms - connection.last_received_ms > IDLE_TIMEOUT_MS
                 and not connection.awaits_answer()
             ):
-                self.metrics.add(f"{self.peer_kind}.idle")
+                reason = "idle"
             else:
                 continue
+            self.metrics.add(f"{self.peer_kind}.{reason}")
             if self._is_still_idle(connection):
-                self.close(connection)
+                self.close(connection, reason)
         self.deadlines.call_at(now_ms + CHECK_INTERVAL_MS, self.check_connections)
 
 
--- a/leadslip/request.py
+++ b/leadslip/request.py
@@ -16,6 +16,19 @@
     ENDED = "over"  # refused, failed, cancelled, or the call has ended
 
 
+class AnswerReason(Enum):
+    """Why a request was refused or failed without a decision of the Controller or a result of a server."""
+
+    NONE = "none"  # the Controller or a server decided, or there is no answer yet
+    SHUTTING_DOWN = "shutting_down"  # the process exits before the request could be answered
+    OUT_OF_SERVICE = "out_of_service"  # operators took the proxy out of service too long before
+    OVER_CONNECTIONS = "over_connections"  # it came on a connection over the limit of connections
+    OVER_REQUESTS = "over_requests"  # as many requests as allowed are open
+    FILTERED = "filtered"  # a filter refused it
+    OVERDUE = "overdue"  # its time ran out
+    ANSWER_LOST = "answer_lost"  # its call ended at the server before the answer arrived
+
+
 class Request:
     """One request from the downstream side, which gets exactly one final answer unless its caller cancels it.
 
@@ -44,6 +57,7 @@
         "max_attempt_ms",
         "admitted_by",
         "max_attempts",
+        "answer_reason",
     )
 
     def __init__(
@@ -65,6 +79,7 @@
         self.admitted_by: tuple = ()  # filters to notify when it is established and ends
         # As in the settings when it was received; later changes do not apply.
         self.max_attempts = 0
+        self.answer_reason = AnswerReason.NONE
 
 
 class Attempt:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -7,13 +7,15 @@
 
 import pytest
 
-from leadslip import logs
+from leadslip import interface, logs
 from leadslip.cli import GROUPS, main
 from leadslip.config import MalformedError
 from leadslip.parts import SettingsContext
 from leadslip.parts.logs import settings as logs_part
+from leadslip.parts.logs.part import RequestLog
 from leadslip.parts.store import settings as store_part
 from leadslip.parts.trunks import settings as trunks_part
+from leadslip.request import AnswerReason, Attempt, Request
 from leadslip.store.base import Store
 from leadslip.trunks import record
 from tests.standins import HOST, ROOT, TEST_TIMEOUT_S, settings
@@ -252,3 +254,17 @@
             raise BrokenPipeError
 
     make_log(stream=ClosedStream())("draining")
+
+
+def test_at_level_debug_each_answer_and_attempt_is_logged_with_its_reason():
+    stream = io.StringIO()
+    observer = RequestLog(logs.PlainLog("debug", stream))
+    request = Request("9b1f03aa5c7e2d41", "plain", 3000.0, None)
+    request.received_at_ms, request.answer_reason = 1000.0, AnswerReason.OUT_OF_SERVICE
+    observer.attempt_ended(Attempt(request, "s0", 0, 1000.0, 2000.0), interface.Outcome.FULL, 1040.0)
+    observer.request_answered(request, "refused", 1050.0)
+    attempt_line, answer_line = stream.getvalue().splitlines()
+    assert attempt_line.endswith(
+        "id=9b1f03aa5c7e2d41 server=s0 attempt=0 outcome=full established=False after_ms=40"
+    )
+    assert "answer=refused reason=out_of_service attempts=0 after_ms=50 left_ms=1950" in answer_line
