End a drain whatever callers do: refuse new requests after 1.9 s, bound each wait

Cause: Clients._close_free_connections closed a connection only if it had no open set-up and no established call at one of its checks, and nothing ever stopped new ones: each request taken set up a call that kept the connection for the next. Not the cause: readiness (it said no at once), the end of calls, a busy process. The same wait without a bound stood in three more places of the drain: for the rest of a message (held until 4.4 s), for a caller to read what was written (Twisted does not close a connection whose producer is paused: held for good), and up to 100 ms for the next check after the last call ended. They are bounded at 3.8 s, and a connection is checked when a request or call on it ends. A close of a callers' connection ends its producer first.

--- a/leadslip/__main__.py
+++ b/leadslip/__main__.py
@@ -30,8 +30,6 @@
 MIN_DRAIN_MS = 900.0  # minimum time between SIGTERM and exit, as new requests may still arrive
 # How long the proxy listens after SIGTERM: clients that no other process serves may still connect for up to 400 ms.
 LISTEN_AFTER_SIGTERM_MS = 500.0
-# In this time before the exit, connections without a pending answer are closed despite established calls.
-FINAL_CLOSE_MS = 400.0
 COUNTS_LOG_INTERVAL_MS = 10_000.0
 FLUSH_TIMEOUT_MS = 120.0  # for callers to read the last answers before the exit
 FLUSH_POLL_MS = 10.0
@@ -222,7 +220,7 @@
         """Drain client connections on an operator's request; the process keeps running."""
         if self.readiness.take_out_of_service(self.clock.now_ms()):
             self.log("out_of_service")
-            self.clients.drain_connections()
+            self.clients.drain.begin()
             self.notify_service_state()
 
     def return_to_service(self) -> None:
@@ -292,7 +290,7 @@
 
     def drain(self) -> None:
         """SIGTERM: stop accepting connections, answer the open requests and drain client connections."""
-        if not self.readiness.begin_shutdown(self.clock.now_ms(), self.longest_deadline_ms()):
+        if not self.readiness.begin_shutdown(self.clock.now_ms(), self.conf.settings.longest_deadline_ms()):
             return
         if self.listening_port is not None:
             self.deadlines.call_at(
@@ -300,35 +298,31 @@
             )
         self.log("draining")
         self.notify_service_state()
-        self.clients.drain_connections()
+        self.clients.drain.begin()
         self.exit_when_drained()
 
     def exit_when_drained(self, _: object = None) -> None:
         """Exit once no call depends on this process, or shortly before SIGKILL; otherwise check again later."""
         now_ms = self.clock.now_ms()
-        shutdown_since_ms, exit_by_ms = (
-            self.readiness.shutdown_since_ms,
-            self.readiness.answer_by_ms(self.longest_deadline_ms()),
-        )
+        longest_deadline_ms = self.conf.settings.longest_deadline_ms()
+        exit_by_ms = self.readiness.answer_by_ms(longest_deadline_ms)
         # The end of an established call can be reported only on a connection from a caller. Once none is left, the
         # servers report it to their other clients, such as a new process beside this one.
         pending = any(engine.open_requests for engine in self.engines) or (
             self.engine.established_requests and self.clients.connections
         )
-        if now_ms >= exit_by_ms - FINAL_CLOSE_MS:
+        if self.readiness.exit_is_near(now_ms, longest_deadline_ms):
             # Prevents the exit from dropping connections during a set-up: each is closed once no answer is pending,
             # so that callers resend a set-up that crosses the close.
             for connection in self.clients.connections:
                 connection.close_despite_calls = True
-        if now_ms >= exit_by_ms or (now_ms >= shutdown_since_ms + MIN_DRAIN_MS and not pending):
+        if now_ms >= exit_by_ms or (
+            now_ms >= self.readiness.shutdown_since_ms + MIN_DRAIN_MS and not pending
+        ):
             self.begin_exit()
             return
         self.deadlines.call_at(now_ms + 50.0, self.exit_when_drained)
 
-    def longest_deadline_ms(self) -> float:
-        """Return the longest deadline of all classes."""
-        return max(call_class.deadline_ms for call_class in self.conf.settings.classes)
-
     def begin_exit(self) -> None:
         """Shut down in order: stop sending set-ups, answer all requests, flush the answers, close connections.
 
--- a/leadslip/interface.py
+++ b/leadslip/interface.py
@@ -122,6 +122,10 @@
     list_on_request: bool = False  # whether the server list must be subscribed to
     own_number: int = -1  # a server number that gets no set-ups from this gateway; -1: none
 
+    def longest_deadline_ms(self) -> float:
+        """The longest deadline of all classes."""
+        return max(call_class.deadline_ms for call_class in self.classes)
+
 
 @dataclass(frozen=True, slots=True)
 class Load:
--- a/leadslip/net/clients.py
+++ b/leadslip/net/clients.py
@@ -11,6 +11,7 @@
 from leadslip.core import Engine, Request, State
 from leadslip.metrics import Metrics
 from leadslip.net.connections import InboundConnection, InboundConnections, MessageError, TextMessageReceiver
+from leadslip.net.drain import ConnectionDrain
 from leadslip.readiness import Readiness
 from leadslip.request import AnswerReason
 
@@ -27,8 +28,6 @@
 RESEND_CHECK_INTERVAL_MS = 100.0  # while any release is unacknowledged
 CAUSE_NORMAL, CAUSE_TEMPORARY_FAILURE = 16, 41  # ITU-T Q.850 cause values, in the Reason header of a release
 
-
-DRAIN_CHECK_INTERVAL_MS = 100.0
 # A connection on which a set-up arrives this long after SIGTERM is closed despite established calls: if clients still
 # use this address, it is assumed that a new process listens there too, which can accept their next connection.
 CLOSE_DESPITE_CALLS_AFTER_MS = 900.0
@@ -61,7 +60,6 @@
         self.inbound = downstream.inbound
         self.set_ups: dict[str, Request] = {}  # awaiting an answer on this connection
         self.new_requests: dict[str, Request] = {}  # of the current read, not offered yet
-        self.close_despite_calls = False  # a drain closes it even if calls established on it go on
 
     def connectionMade(self) -> None:
         super().connectionMade()
@@ -94,7 +92,11 @@
         # cancelled in the same read, or followed by a malformed message. `overflow`: the connection was accepted over
         # the limit, so that its requests are refused; it is closed after its first message.
         new_requests, self.new_requests = self.new_requests, {}
-        refusal = AnswerReason.OVER_CONNECTIONS if self.overflow else AnswerReason.NONE
+        refusal = AnswerReason.NONE
+        if self.overflow:
+            refusal = AnswerReason.OVER_CONNECTIONS
+        elif new_requests:
+            refusal = self.downstream.refusal_of_new_requests()
         for request in new_requests.values():
             self.downstream.engine.offer(request, refusal)
         if self.overflow and self.last_received_ms:
@@ -128,6 +130,7 @@
         if headers.get(b"cseq", b"").endswith(b"BYE"):
             self.downstream.release_acknowledged(parse_call_id(headers))
             self.downstream.mark_as_caller(self)
+            self.downstream.drain.connection_settled(self)
 
     def invite(self, number: bytes, headers: dict[bytes, bytes], body: memoryview) -> None:
         """Handles a set-up: parses it into a new request, which is offered to the engine at the end of the read."""
@@ -135,9 +138,7 @@
         expires_ms = parse_unsigned(
             headers.get(b"expires-ms"), "Expires-Ms must be an integer of 1 to 12 digits"
         )
-        if expires_ms > MAX_EXPIRES_DEADLINES * max(
-            call_class.deadline_ms for call_class in downstream.engine.settings.classes
-        ):
+        if expires_ms > MAX_EXPIRES_DEADLINES * downstream.engine.settings.longest_deadline_ms():
             raise MessageError(
                 f"Expires-Ms {expires_ms:.0f} exceeds {MAX_EXPIRES_DEADLINES:.0f} times the longest deadline"
             )
@@ -204,6 +205,7 @@
         self.reply(b"200 OK" if known else UNKNOWN_CALL, headers)
         if request is not None:
             self.downstream.engine.hang_up(request)
+            self.downstream.drain.connection_settled(request.context[0])
 
     def options(self, number: bytes, headers: dict[bytes, bytes], body: memoryview) -> None:
         """Answers a readiness check: 200 while the proxy is ready, else 503."""
@@ -272,7 +274,7 @@
         )
         self.connections = self.inbound.open
         self.unsent_releases: dict[str, None] = {}  # ids of calls whose release waits for a connection
-        self.draining = False  # whether the check that closes connections without calls is scheduled
+        self.drain = ConnectionDrain(self.inbound, engine, readiness)
         self.pending_releases: OrderedDict[str, PendingRelease] = OrderedDict()  # by call id, oldest first
         # Connections that have sent a set-up or acknowledged a release; the one that did so last is at the end.
         self.caller_connections: OrderedDict[CallerConnection, None] = OrderedDict()
@@ -324,38 +326,12 @@
             if pending.connection is connection:
                 self._send_release(id_, self._fallback_connection())
 
-    def drain_connections(self) -> None:
-        """Closes connections as they become free, until the drain ends, so that clients connect elsewhere.
-
-        A connection is free once it has no open set-up and no established call was set up on it, as the call's
-        release is to be sent there. A set-up that crosses the close is sent again by its caller. A connection that
-        still brings set-ups long after SIGTERM is closed despite established calls: its callers can reach a new
-        process beside this one, to which the servers report the ends of those calls once this process has exited.
-        """
-        if not self.draining:
-            self.draining = True
-            self._close_free_connections()
-
-    def _close_free_connections(self, _: object = None) -> None:
-        """Closes the connections that are free now, and schedules the next check until the drain ends."""
-        if not self.readiness.client_connections_draining():
-            self.draining = False
-            return
-        in_use = {request.context[0] for request in self.engine.established_requests.values()}
+    def refusal_of_new_requests(self) -> AnswerReason:
+        """Returns why a request that has arrived just now is refused, or NONE if it is not."""
         now_ms = self.engine.clock.now_ms()
-        for connection in list(self.connections):
-            if connection.transport.disconnecting or (
-                connection in in_use and not connection.close_despite_calls
-            ):
-                continue
-            connection.read_pending()
-            if connection not in self.connections or connection.set_ups or connection.partial_since_ms:
-                continue  # a set-up has arrived, complete or in part, and is answered first
-            if not connection.last_received_ms and now_ms - connection.opened_ms < DRAIN_CHECK_INTERVAL_MS:
-                continue  # its first message may be in flight
-            self.metrics.add("clients.sent_away")
-            connection.transport.loseConnection()
-        self.engine.deadlines.call_at(now_ms + DRAIN_CHECK_INTERVAL_MS, self._close_free_connections)
+        if self.readiness.refuses_while_out_of_service(now_ms):
+            return AnswerReason.OUT_OF_SERVICE
+        return AnswerReason.NONE
 
     def close_connections(self) -> bool:
         """Closes every connection once its write buffer is sent; returns whether all have closed.
@@ -377,6 +353,7 @@
         """Cancels a set-up whose caller has left or cancelled it; it gets no answer."""
         request.context[0].set_ups.pop(request.id, None)
         self.engine.cancel(request)
+        self.drain.connection_settled(request.context[0])
 
     # Called by the engine.
 
@@ -463,3 +440,5 @@
             connection.send(status_line, echoed, *rest)
         elif request.state is State.ESTABLISHED:
             self.metrics.add("clients.answer_lost")
+        if request.state is not State.ESTABLISHED:
+            self.drain.connection_settled(connection)
--- a/leadslip/net/connections.py
+++ b/leadslip/net/connections.py
@@ -148,6 +148,7 @@
     last_received_ms = 0.0  # when the last complete message arrived; 0: none yet
     processing_read = False  # dataReceived is running
     overflow = False  # accepted over the limit: its requests are refused, and it is closed
+    close_despite_calls = False  # a drain closes it even if calls established on it go on
     peer_name = ""  # the peer's address and port, for the log
 
     def connectionMade(self) -> None:
@@ -299,6 +300,8 @@
         """Closes a connection once its write buffer is sent; from now on it does not count as open."""
         if connection in self.open:
             self.log_closed(connection, reason)
+            # With a paused producer Twisted would not close the connection once the buffer is sent.
+            connection.transport.unregisterProducer()
         connection.transport.loseConnection()
         if connection in self.open:
             self.closing[connection] = self.deadlines.clock.now_ms()
@@ -330,12 +333,17 @@
         self.closing.pop(connection, None)
         self.remove(connection)
 
+    def abort_closing(self, older_than_ms: float) -> None:
+        """Aborts connections that have been closing for longer: their peers do not read what was sent to them."""
+        now_ms = self.deadlines.clock.now_ms()
+        for connection, since_ms in list(self.closing.items()):
+            if now_ms - since_ms > older_than_ms:
+                connection.transport.abortConnection()
+
     def check_connections(self, _: object = None) -> None:
         """Closes connections that are silent or idle for too long, or that never finish a message."""
         now_ms = self.deadlines.clock.now_ms()
-        for connection, since_ms in list(self.closing.items()):
-            if now_ms - since_ms > WRITE_STALL_TIMEOUT_MS:
-                connection.transport.abortConnection()  # the peer does not read what was sent to it
+        self.abort_closing(WRITE_STALL_TIMEOUT_MS)
         for connection in list(self.open):
             if not connection.last_received_ms and now_ms - connection.opened_ms > (
                 OVERFLOW_TIMEOUT_MS if connection.overflow else FIRST_MESSAGE_TIMEOUT_MS
--- a/leadslip/readiness.py
+++ b/leadslip/readiness.py
@@ -12,6 +12,14 @@
 MAX_DEADLINE_MS = 3000.0
 KILL_DELAY_MS = 700.0
 EXIT_MARGIN_MS = 200.0  # the process exits this long before the earliest SIGKILL
+# In this time before the exit new requests are refused, so that connections become free and close.
+LAST_REQUEST_BEFORE_EXIT_MS = 400.0
+# By the protocol, 4 s after a proxy is taken out of service no connection may be idle or have an open request of the
+# last 2 s.
+REFUSE_AFTER_MS = 1900.0  # out of service for this long, the proxy refuses new requests
+OVERDUE_AFTER_MS = (
+    3800.0  # out of service for this long, a partial message or unsent data keeps no connection open
+)
 
 
 @dataclass(slots=True)
@@ -40,6 +48,25 @@
         """Whether client connections are to be closed once no answer is pending on them."""
         return bool(self.out_of_service_since_ms or self.shutdown_since_ms)
 
+    def draining_since_ms(self) -> float:
+        """When the proxy was taken out of service or, if it is in service, began to shut down."""
+        return self.out_of_service_since_ms or self.shutdown_since_ms
+
+    def refuses_while_out_of_service(self, now_ms: float) -> bool:
+        """Whether the proxy has been out of service for so long that it refuses new requests."""
+        return bool(self.out_of_service_since_ms) and now_ms - self.out_of_service_since_ms >= REFUSE_AFTER_MS
+
+    def drain_overdue(self, now_ms: float) -> bool:
+        """Whether the proxy has been out of service for so long that only requests and calls keep connections open."""
+        return (
+            bool(self.out_of_service_since_ms) and now_ms - self.out_of_service_since_ms >= OVERDUE_AFTER_MS
+        )
+
+    def exit_is_near(self, now_ms: float, longest_deadline_ms: float) -> bool:
+        """Whether the shutdown is so close to its end that new requests are refused."""
+        answer_by_ms = self.answer_by_ms(longest_deadline_ms)
+        return bool(self.shutdown_since_ms) and now_ms >= answer_by_ms - LAST_REQUEST_BEFORE_EXIT_MS
+
     def take_out_of_service(self, now_ms: float) -> bool:
         """Take the proxy out of service, unless it already is; returns whether this changed anything."""
         if self.out_of_service_since_ms:
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -1,8 +1,10 @@
 """Drains of a running proxy whose callers keep using their open connections."""
 
 import contextlib
+import socket
 import threading
 import time
+from pathlib import Path
 
 import pytest
 
@@ -15,6 +17,7 @@
 ANSWER_DELAY_S = 0.12
 CALL_DURATION_S = 1.5
 RELEASE_LIMIT_S = 1.05
+UNREAD_ANSWERS = 40_000  # more than the buffers of both sockets hold
 
 
 class DelayedServer(SetupServer):
@@ -132,3 +135,44 @@
         assert not caller.established, "each call is released on a connection that stays open for it"
         for id_, released_at in caller.released_at.items():
             assert released_at - server.released_at[id_] < RELEASE_LIMIT_S
+
+
+def is_held(program, connection):
+    """Returns whether the proxy still has its end of a connection open, as the system's table of sockets says."""
+    own_port, listen_port = f":{connection.getsockname()[1]:04X}", f":{program.listen[1]:04X}"
+    for line in Path(f"/proc/{program.process.pid}/net/tcp").read_text().splitlines()[1:]:
+        _, local, remote, _, _, _, _, _, _, inode, *_ = line.split()
+        if local.endswith(listen_port) and remote.endswith(own_port):
+            return inode != "0"  # a socket that its process has closed belongs to no inode
+    return False
+
+
+def test_a_drain_holds_no_connection_with_a_partial_message(start):
+    """Guards against a drain that waits for the rest of a message longer than connections may be held."""
+    program = start(DelayedServer(call_duration_s=3.0))
+    writer = Caller(program)
+    writer.invite(f"{0:016x}")
+    assert writer.receive()[0] == "SIP/2.0 200 OK"
+    assert program.http_request("PUT", "/control/out-of-service")[0] == 200
+    drained_at = time.monotonic()
+    time.sleep(2.5)
+    writer.socket.sendall(b"INVITE sip:0123@net SIP/2.0")
+    assert writer.receive()[0].startswith("BYE ")
+    time.sleep(drained_at + DRAIN_LIMIT_S - time.monotonic())
+    assert not is_held(program, writer.socket)
+
+
+def test_a_drain_holds_no_connection_whose_caller_does_not_read(start):
+    """Guards against a drain that waits until what it has written is read: Twisted never closes a paused producer."""
+    program = start(DelayedServer())
+    reader = Caller.__new__(Caller)
+    reader.socket = socket.socket()
+    reader.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    reader.socket.connect(program.listen)
+    request = (
+        b"OPTIONS sip:x@net SIP/2.0\r\nCall-ID: %016x\r\nCSeq: 1 OPTIONS\r\nContent-Length: 0\r\n\r\n" % 1
+    )
+    reader.socket.sendall(request * UNREAD_ANSWERS)
+    assert program.http_request("PUT", "/control/out-of-service")[0] == 200
+    time.sleep(DRAIN_LIMIT_S)
+    assert not is_held(program, reader.socket)
