--- a/leadslip/net/clients.py
+++ b/leadslip/net/clients.py
@@ -329,6 +329,8 @@
     def refusal_of_new_requests(self) -> AnswerReason:
         """Returns why a request that has arrived just now is refused, or NONE if it is not."""
         now_ms = self.engine.clock.now_ms()
+        if self.readiness.exit_is_near(now_ms, self.engine.settings.longest_deadline_ms()):
+            return AnswerReason.SHUTTING_DOWN
         if self.readiness.refuses_while_out_of_service(now_ms):
             return AnswerReason.OUT_OF_SERVICE
         return AnswerReason.NONE
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -176,3 +176,23 @@
     assert program.http_request("PUT", "/control/out-of-service")[0] == 200
     time.sleep(DRAIN_LIMIT_S)
     assert not is_held(program, reader.socket)
+
+
+def test_steady_callers_are_refused_shortly_before_the_exit_and_no_set_up_is_left_open(start):
+    """Guards against an exit that cuts short set-ups that came too late to be answered by a server."""
+    short_class = {"name": "plain", "gain": 1.0, "late_worth": 0.2, "aim_ms": 500.0, "deadline_ms": 800.0}
+    program = start(DelayedServer(), settings=settings(services=[short_class]))
+    callers = [PersistentCaller(program, i, interval_s=0.04, expires_ms=800) for i in range(4)]
+    time.sleep(1.0)
+    program.process.terminate()
+    terminated_at = time.monotonic()
+    assert program.process.wait(1.5) == 0, "SIGKILL may follow 1.5 s after SIGTERM"
+    for caller in callers:
+        for thread in caller.threads:
+            thread.join(1.0)
+        assert not any(status.startswith("SIP/2.0 500") for status in caller.answers.values())
+        unanswered = [id_ for id_ in caller.sent_at if id_ not in caller.answers]
+        assert all(caller.closed_at - caller.sent_at[id_] < 0.05 for id_ in unanswered), (
+            "it crossed the close"
+        )
+        assert caller.closed_at - terminated_at < 1.5
