--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -210,3 +210,16 @@
     counters = read_counters(proxy)
     assert (counters["proxy.config_applied"], counters["proxy.config_rejected"]) == (1, 1)
     assert not [name for name in counters if "no such class" in name]
+
+
+def test_requests_are_refused_once_out_of_service_for_long_and_shortly_before_the_exit():
+    readiness = Readiness(listening=True)
+    assert not readiness.refuses_while_out_of_service(9_000.0) and not readiness.exit_is_near(9_000.0, 800.0)
+    readiness.take_out_of_service(10_000.0)
+    assert not readiness.refuses_while_out_of_service(11_899.0) and not readiness.drain_overdue(13_799.0)
+    assert readiness.refuses_while_out_of_service(11_900.0) and readiness.drain_overdue(13_800.0)
+    readiness.return_to_service()
+    assert not readiness.refuses_while_out_of_service(19_000.0) and not readiness.drain_overdue(19_000.0)
+    readiness.begin_shutdown(20_000.0, longest_deadline_ms=800.0)
+    assert not readiness.exit_is_near(20_899.0, 800.0) and readiness.exit_is_near(20_900.0, 800.0)
+    assert not readiness.refuses_while_out_of_service(29_000.0), "a shutdown alone has its own limit"
