--- a/leadslip/__main__.py
+++ b/leadslip/__main__.py
@@ -34,7 +34,7 @@
 FLUSH_TIMEOUT_MS = 120.0  # for callers to read the last answers before the exit
 FLUSH_POLL_MS = 10.0
 # Descriptors other than connections of callers and servers: standard streams, the reactor's own, listeners and the
-# spare descriptors of Twisted's accept, polls of the notice board (two while its address changes), operators'
+# spare descriptors of Twisted's accept, polls of the notice board (up to three, unanswered), operators'
 # connections, and files read on a reload.
 OTHER_DESCRIPTORS = 24
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -82,6 +82,11 @@
         lasts_s = 5.0 if kind == "out" else 0.3 if kind == "stop" else rng.uniform(0.5, 3.0)
         target = rng.randrange(SERVERS if kind in ("hang", "replace", "reset") else proxies)
         troubles.append(Trouble(kind, rng.uniform(0.5, 9.0), lasts_s, target))
+    # Drawn apart, so that the plans of the seeds keep what they had before this kind was added.
+    slow = Random(f"board slow {seed}")
+    if slow.random() < 0.5:
+        lasts_s = slow.uniform(4.0, 7.0)
+        troubles.append(Trouble("board slow", slow.uniform(0.5, 6.0), lasts_s, slow.randrange(proxies)))
     return Plan(
         seed,
         proxies,
@@ -327,6 +332,9 @@
             proxy.board.silent_until_s = until_s
         elif trouble.kind == "board refuses":
             proxy.board.refuses_until_s = until_s
+        elif trouble.kind == "board slow":
+            proxy.board.slow_until_s = until_s
+            proxy.board.abort_polls()
         elif proxy.busy:
             return
         elif trouble.kind == "hup":
--- a/tests/soak_peers.py
+++ b/tests/soak_peers.py
@@ -19,6 +19,7 @@
 SET_UP, ANSWER, RELEASE, STATE, TEST, TEST_RESULT = 1, 9, 12, 43, 52, 53
 CLASS_PARAMETER, CAUSE_PARAMETER, DESCRIPTION_PARAMETER, REPORT_PARAMETER = 33, 61, 63, 51
 CAUSE_NORMAL = b"\x10"
+SLOW_ANSWER_S = 3.5  # of a slow board, until it begins to answer a poll
 REPORT = (REPORT_PARAMETER, b"x0:5000;x1:5000")
 CALL_ID = re.compile(rb"\r\nCall-ID: *([0-9a-f]{16})\r\n", re.IGNORECASE)
 CONTENT_LENGTH = re.compile(rb"\r\nContent-Length: *([0-9]+)\r\n", re.IGNORECASE)
@@ -152,7 +153,8 @@
     def __init__(self, events: list[dict]) -> None:
         self.events = events  # shared by the boards of all proxies
         self.written_s: dict[int, float] = {}  # by event number
-        self.silent_until_s = self.refuses_until_s = 0.0
+        self.silent_until_s = self.refuses_until_s = self.slow_until_s = 0.0
+        self.polls: set[asyncio.StreamWriter] = set()
         self.addresses: list[str] = []
 
     async def start(self, host: str) -> None:
@@ -166,10 +168,13 @@
             if time.monotonic() < self.refuses_until_s:
                 writer.transport.abort()
                 return
+            if time.monotonic() < self.slow_until_s:
+                await asyncio.sleep(SLOW_ANSWER_S)
+            self.polls.add(writer)
             last = int(re.search(rb"last-event-id: *([0-9]+)", head, re.IGNORECASE)[1])
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")
             next_comment_s = 0.0
-            while not writer.is_closing():
+            while not writer.is_closing() and not reader.at_eof():
                 now_s = time.monotonic()
                 if now_s >= self.silent_until_s:
                     for event in self.events:
@@ -182,8 +187,13 @@
                         writer.write(b": comment\n\n")
                     await writer.drain()
                 await asyncio.sleep(0.02)
+        self.polls.discard(writer)
         writer.close()
 
+    def abort_polls(self) -> None:
+        for writer in list(self.polls):
+            writer.transport.abort()
+
 
 class CallerConnection:
     """One connection of a caller; it stays in use until the proxy closes it."""
--- a/tests/test_board.py
+++ b/tests/test_board.py
@@ -140,3 +140,43 @@
     client.poll()
     world.time.advance(2.6)
     assert len(agent.polls) == 2 and world.metrics.counts["board.silent"] == 1
+
+
+def test_a_board_slower_than_the_silence_time_out_is_heard():
+    """Guards against polls that are given up and begun anew before a slow board answers any of them."""
+    world, revisions, agent = EngineFixture(), [], FakeAgent()
+    client = board.BoardClient(
+        world.time,
+        world.deadlines,
+        world.metrics,
+        ("127.0.0.1", 9),
+        3,
+        lambda received: revisions.append(received.rev),
+        0.5,
+    )
+    client.agent = agent
+    client.poll()
+    world.time.advance(board.SILENCE_TIMEOUT_MS / 1000.0 + 0.1)
+    assert len(agent.polls) == 2 and not agent.polls[0][0].called
+    first = agent.answer(0)
+    send_event(first, 4, ("s0", "127.0.0.1:1", "active"))
+    assert revisions == [4] and agent.polls[1][0].called, (
+        "the poll answered first counts, the other is cancelled"
+    )
+    world.time.advance(board.SILENCE_TIMEOUT_MS / 1000.0 + 0.1)
+    assert [last for _, last in agent.polls] == ["3", "3", "4"], "its silence is noted like that of any poll"
+    client.stop()
+    assert agent.polls[2][0].called
+
+
+def test_unanswered_polls_are_bounded():
+    world, agent = EngineFixture(), FakeAgent()
+    client = board.BoardClient(
+        world.time, world.deadlines, world.metrics, ("127.0.0.1", 9), 3, lambda received: None, 0.5
+    )
+    client.agent = agent
+    client.poll()
+    for _ in range(5):
+        world.time.advance(board.SILENCE_TIMEOUT_MS / 1000.0 + 0.1)
+    waiting = [response for response, _ in agent.polls if not response.called]
+    assert len(agent.polls) == 6 and len(waiting) == board.MAX_UNANSWERED_POLLS
