Soak: what a reload's configuration lists counts as told

The log has three reload.taken in the time; the configuration taken lists these events, so the proxy rightly asks from the last of them on. The judge now counts them as told then, which also binds the rule on draining servers to that moment.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -357,6 +357,8 @@
             proxy.board_index = 1 - proxy.board_index
             self.configure(proxy)
             proxy.process.send_signal(signal.SIGHUP)
+            for rev in self.published_s:  # the configuration tells what has been published so far
+                proxy.board.written_s.setdefault(rev, time.monotonic())
 
     async def stall(self, proxy: Proxy, lasts_s: float) -> None:
         with contextlib.suppress(ProcessLookupError):
