--- a/tests/test_board.py
+++ b/tests/test_board.py
@@ -41,8 +41,8 @@
     stream.dataReceived(b"id: %d\ndata: %s\n\n" % (number, event.encode()))
 
 
-def test_a_silent_stream_is_dropped_and_polled_again_from_the_last_event():
-    world, revisions, agent = EngineFixture(), [], FakeAgent()
+def make_client(world, agent, revisions):
+    """Returns a client that has received event 3 and adds the revision of each further one to `revisions`."""
     client = board.BoardClient(
         world.time,
         world.deadlines,
@@ -53,6 +53,12 @@
         0.5,
     )
     client.agent = agent
+    return client
+
+
+def test_a_silent_stream_is_dropped_and_polled_again_from_the_last_event():
+    world, revisions, agent = EngineFixture(), [], FakeAgent()
+    client = make_client(world, agent, revisions)
     client.poll()
     first = agent.answer(0)
     send_event(first, 4, ("s0", "127.0.0.1:1", "active"))
@@ -73,16 +79,7 @@
 def open_poll():
     """Returns a World, a client that polls from event 3, the revisions it passes on, its agent and the open stream."""
     world, revisions, agent = EngineFixture(), [], FakeAgent()
-    client = board.BoardClient(
-        world.time,
-        world.deadlines,
-        world.metrics,
-        ("127.0.0.1", 9),
-        3,
-        lambda received: revisions.append(received.rev),
-        0.5,
-    )
-    client.agent = agent
+    client = make_client(world, agent, revisions)
     client.poll()
     return world, client, revisions, agent, agent.answer(0)
 
@@ -127,16 +124,7 @@
 
 def test_a_poll_without_a_response_is_repeated_after_the_silence_time_out():
     world, revisions, agent = EngineFixture(), [], FakeAgent()
-    client = board.BoardClient(
-        world.time,
-        world.deadlines,
-        world.metrics,
-        ("127.0.0.1", 9),
-        3,
-        lambda received: revisions.append(received.rev),
-        0.5,
-    )
-    client.agent = agent
+    client = make_client(world, agent, revisions)
     client.poll()
     world.time.advance(2.6)
     assert len(agent.polls) == 2 and world.metrics.counts["board.silent"] == 1
@@ -145,16 +133,7 @@
 def test_a_board_slower_than_the_silence_time_out_is_heard():
     """Guards against polls that are given up and begun anew before a slow board answers any of them."""
     world, revisions, agent = EngineFixture(), [], FakeAgent()
-    client = board.BoardClient(
-        world.time,
-        world.deadlines,
-        world.metrics,
-        ("127.0.0.1", 9),
-        3,
-        lambda received: revisions.append(received.rev),
-        0.5,
-    )
-    client.agent = agent
+    client = make_client(world, agent, revisions)
     client.poll()
     world.time.advance(board.SILENCE_TIMEOUT_MS / 1000.0 + 0.1)
     assert len(agent.polls) == 2 and not agent.polls[0][0].called
@@ -171,10 +150,7 @@
 
 def test_unanswered_polls_are_bounded():
     world, agent = EngineFixture(), FakeAgent()
-    client = board.BoardClient(
-        world.time, world.deadlines, world.metrics, ("127.0.0.1", 9), 3, lambda received: None, 0.5
-    )
-    client.agent = agent
+    client = make_client(world, agent, [])
     client.poll()
     for _ in range(5):
         world.time.advance(board.SILENCE_TIMEOUT_MS / 1000.0 + 0.1)
