Review case 2: a lost attempt's end, 33 s later, releases the call that stands elsewhere

Cause: a server's release of an id ended over 30 s ago counts as a call from before a restart, and is passed to callers without asking whether a call of that id stands (Server.released, Node.on_unknown_end).

--- a/review/standins.py
+++ b/review/standins.py
@@ -102,7 +102,8 @@
             while True:
                 (size,) = struct.unpack("!H", await reader.readexactly(2))
                 self.message(writer, *decode(await reader.readexactly(size)))
-        self.connections.remove(writer)
+        if writer in self.connections:
+            self.connections.remove(writer)
         writer.close()
         for call in list(self.calls.values()):
             if call.writer is writer and not call.answered_s:
@@ -130,6 +131,13 @@
             call.writer.write(encode(ANSWER, call.call, (DESCRIPTION, self.description(call))))
             self.record(self.name, f"{call.call} answered: the call stands")
 
+    def answered_unheard(self, call: Call) -> None:
+        """The call stands, but its answer was lost with its connection."""
+        call.answered_s = time.monotonic()
+        self.record(
+            self.name, f"{call.call} answered: the call stands; the answer is lost with its connection"
+        )
+
     def description(self, call: Call) -> bytes:
         return f"{self.name} {call.call}".encode()
 
