--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,6 +1,8 @@
-"""The end of a call's lost first attempt, half a minute later, releases the call that stands by its second attempt."""
+"""A configuration file that lacks a key is taken at SIGHUP, and calls then go to a setup server they may not go to."""
 
 import asyncio
+import copy
+import signal
 import sys
 from pathlib import Path
 
@@ -16,78 +18,67 @@
     Record,
     SetupServer,
     run_case,
-    service,
     trouble,
 )
 
-WATCHED = "00000000000000a1"
-FIRST_S, SECOND_S = 33.0, 40.0  # how long the watched call stands at the first server, and at the second
-OTHERS_S = 11.0  # all other calls
+CALLS = 20
+FULL = 34
 
 
 async def play(record: Record, scratch: Path, proxies: list[Proxy]) -> list[str]:
     loop = asyncio.get_running_loop()
-    broken: list[str] = []
 
-    def establish(server: SetupServer, call: Call) -> None:
-        if call.call != WATCHED:
-            loop.call_later(0.02, server.answer, call)
-            loop.call_later(0.02 + OTHERS_S, server.release, call)
-            return
-        first = not broken
-        broken.append(server.name)
-        if first and trouble():
-            # The call stands, and the connection is reset before the answer has left: nothing of it arrives.
-            server.reset(call.writer)
-            server.connections.remove(call.writer)
-            server.answered_unheard(call)
+    def takes_most(server: SetupServer, call: Call) -> None:
+        """Pool 0 is at its limit now and then: it refuses every third set-up as full, which never ran."""
+        if len(server.received) % 3 == 0:
+            server.refuse(call, FULL)
         else:
-            server.answer(call)
-        loop.call_later(FIRST_S if first else SECOND_S, server.release, call)
+            establish(server, call)
+
+    def establish(server: SetupServer, call: Call) -> None:
+        loop.call_later(0.02, server.answer, call)
+        loop.call_later(0.6, server.release, call)
 
     board = Board(record)
     await board.start()
-    servers = [SetupServer(f"s{i}", record, establish) for i in range(2)]
+    servers = [SetupServer("pool-0", record, takes_most), SetupServer("pool-1", record, establish)]
     for server in servers:
         await server.start()
     proxy = Proxy(record, scratch, board, servers)
     proxies.append(proxy)
-    settings = proxy.configuration["settings"]
-    settings["services"] = [service("photo-fetch", 1.0), service("verdict-set", 3.0)]
-    settings["extra"]["mean_hold_ms"] = [11000.0, 16500.0]
+    # Resident calls may go to both pools, officer calls to pool 0 alone.
+    proxy.configuration["settings"]["extra"]["allowed_pools"] = [[0, 1], [0]]
     await proxy.start()
     caller = Caller(record, proxy.listen)
+    connection = await caller.connect()
 
-    async def traffic() -> None:
-        """Ordinary calls, one every two seconds."""
-        connection = await caller.connect()
-        for i in range(1 << 20):
-            connection.invite(f"{i:015x}f", "photo-fetch", i % 2, 3000)
-            await asyncio.sleep(2.0)
+    async def place(first: int, count: int) -> None:
+        for i in range(first, first + count):
+            for class_, kind in (("officer-call", 0xB), ("resident-call", 0xA)):
+                request = connection.invite(f"{kind:x}{i:015x}", class_, 0, 3000)
+                await asyncio.wait_for(request.answered.wait(), 5.0)
+            await asyncio.sleep(0.05)
 
-    others = asyncio.create_task(traffic())
-    await asyncio.sleep(1.0)
-    request = (await caller.connect()).invite(WATCHED, "verdict-set", 0, 3000)
-    await asyncio.wait_for(request.answered.wait(), 5.0)
-    if request.status != 200:
-        raise CaseFailedError(f"the watched call was answered {request.status}")
-    attempts = [(server, call) for server in servers for call in server.received if call.call == WATCHED]
-    server, call = max(attempts, key=lambda attempt: attempt[1].received_s)
-    if len(attempts) != 1 + trouble():
-        raise CaseFailedError(f"the watched call had {len(attempts)} attempts")
-    record("case", f"the watched call stands at {server.name}, on which its caller's answer rests")
-    while not call.ended_s:
-        await asyncio.sleep(0.05)
-    await asyncio.sleep(1.0)
-    others.cancel()
-    if not request.released_s:
-        raise CaseFailedError("the end of the watched call was not told")
-    early_s = call.ended_s - request.released_s[0]
-    if early_s > 0.05:
-        return [
-            f"the caller of {WATCHED} was told that its call is over {early_s:.1f} s before its end at {server.name}"
-        ]
-    return []
+    await asyncio.sleep(1.5)  # not within the program's first second
+    await place(0, CALLS)
+    revision = copy.deepcopy(proxy.configuration)
+    if trouble():
+        del revision["settings"]["extra"]["allowed_pools"]
+    proxy.configure(revision)
+    proxy.signal(signal.SIGHUP)
+    await asyncio.sleep(1.3)  # clients use what is new 1.2 s later
+    counters = await proxy.counters()
+    record(
+        "proxy", ", ".join(f"{name}={counters[f'proxy.config_{name}']}" for name in ("applied", "rejected"))
+    )
+    await place(CALLS, CALLS)
+    if not any(call.call.startswith("b") for call in servers[0].received):
+        raise CaseFailedError("no officer call reached pool 0")
+    return [
+        f"officer call {call.call} was sent to pool 1, where it may not go"
+        for call in servers[1].received
+        if call.fields[33] == b"officer-call"
+    ]
 
 
 sys.exit(run_case(FOLDER, play))
--- a/review/standins.py
+++ b/review/standins.py
@@ -253,12 +253,16 @@
         self.closed_s = 0.0
         self.task = asyncio.create_task(self.read())
 
-    def invite(self, call: str, class_: str, destination: int, expires_ms: int) -> Request:
+    def invite(
+        self, call: str, class_: str, destination: int, expires_ms: int, number: str = "0123"
+    ) -> Request:
         request = self.caller.requests[call] = Request(call)
         body = f"offer of {call}"
-        self.record(self.name, f"INVITE {call} class {class_} dest {destination} Expires-Ms {expires_ms}")
+        self.record(
+            self.name, f"INVITE {call} to {number} class {class_} dest {destination} Expires-Ms {expires_ms}"
+        )
         self.write(
-            f"INVITE sip:0123@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: {call}\r\nCSeq: 1 INVITE\r\n"
+            f"INVITE sip:{number}@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: {call}\r\nCSeq: 1 INVITE\r\n"
             f"Priority-Class: {class_}\r\nExpires-Ms: {expires_ms}\r\n"
             f"P-Trunk-Info: dest:{destination};width:1;via:-1\r\nContent-Length: {len(body)}\r\n\r\n{body}"
         )
@@ -434,6 +438,20 @@
             return int(line.split()[1]) if line else 0
         return 0
 
+    async def operate(self, method: str, path: str, document: object = None) -> tuple[int, dict]:
+        """One call at the operators' address that brings or returns a JSON document; status 0 without an answer."""
+        body = b"" if document is None else json.dumps(document).encode()
+        try:
+            reader, writer = await asyncio.open_connection(*self.ops)
+            head = f"{method} /control/{path} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n"
+            writer.write(head.encode() + body)
+            answer = await asyncio.wait_for(reader.read(), 12.0)
+            writer.close()
+            head, _, text = answer.decode().partition("\r\n\r\n")
+            return int(head.split()[1]), json.loads(text)
+        except (OSError, TimeoutError, ValueError, IndexError):
+            return 0, {}
+
     async def counters(self) -> dict[str, str]:
         reader, writer = await asyncio.open_connection(*self.ops)
         writer.write(b"GET /control/counters HTTP/1.1\r\nHost: x\r\n\r\n")
