Move the releases of ended calls out of net/clients into a module of their own

Need: net/clients.py held two jobs, the wire format towards callers and the choice of who is told of a call's end.

Change: net/releases.py has PendingRelease and Releases; Clients owns one. Behaviour is as before, except that a closed connection's releases are sent elsewhere before its set-ups are cancelled, not after.

--- a/leadslip/__main__.py
+++ b/leadslip/__main__.py
@@ -238,7 +238,7 @@
     def on_unknown_end(self, call: bytes, cut: bool) -> None:
         """A server ended a call unknown here, such as one set up before a restart: notify its caller."""
         self.metrics.add("servers.unknown_ends")
-        self.clients.release(call.hex(), cut)
+        self.clients.releases.release(call.hex(), cut)
         for part in self.parts.values():
             part.on_unknown_call_ended(call.hex())
 
--- a/leadslip/net/clients.py
+++ b/leadslip/net/clients.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import re
-from collections import OrderedDict
 from collections.abc import Callable
 
 from twisted.internet import protocol
@@ -12,6 +11,7 @@
 from leadslip.metrics import Metrics
 from leadslip.net.connections import InboundConnection, InboundConnections, MessageError, TextMessageReceiver
 from leadslip.net.drain import ConnectionDrain
+from leadslip.net.releases import Releases
 from leadslip.readiness import Readiness
 from leadslip.request import AnswerReason
 
@@ -23,10 +23,6 @@
 CONTENT_LENGTH = re.compile(rb"\r\n(?:Content-Length|l)[ \t]*:[ \t]*([^\r\n]*)", re.IGNORECASE)
 DIGITS = re.compile(rb"[0-9]{1,9}[ \t]*")
 ECHOED_HEADERS = (b"via", b"from", b"to", b"call-id", b"cseq")
-RELEASE_TTL_MS = 8000.0  # after this time since the call's end, an unacknowledged release is dropped
-RESEND_AFTER_MS = 300.0  # until an unacknowledged release is sent on another connection; doubles each time
-RESEND_CHECK_INTERVAL_MS = 100.0  # while any release is unacknowledged
-CAUSE_NORMAL, CAUSE_TEMPORARY_FAILURE = 16, 41  # ITU-T Q.850 cause values, in the Reason header of a release
 
 # A connection on which a set-up arrives this long after SIGTERM is closed despite established calls: if clients still
 # use this address, it is assumed that a new process listens there too, which can accept their next connection.
@@ -35,17 +31,6 @@
 MAX_LINES_PER_CALL = 1000.0  # upper limit for `width`, the number of lines that a call occupies
 
 
-class PendingRelease:
-    """The release of an ended call until a caller has acknowledged it."""
-
-    __slots__ = ("ended_ms", "message", "connection", "sent_ms", "send_count")
-
-    def __init__(self, ended_ms: float, message: bytes) -> None:
-        self.ended_ms, self.message = ended_ms, message
-        self.connection: CallerConnection | None = None  # where it was last sent; None: waits for one
-        self.sent_ms, self.send_count = 0.0, 0
-
-
 class CallerConnection(InboundConnection, TextMessageReceiver):
     """One connection from callers; it owns the set-ups that arrived on it, but no established call."""
 
@@ -63,7 +48,7 @@
 
     def connectionMade(self) -> None:
         super().connectionMade()
-        self.downstream.connection_opened(self)
+        self.downstream.releases.connection_opened(self)
 
     def awaits_answer(self) -> bool:
         return bool(self.set_ups)
@@ -128,8 +113,8 @@
     def response_received(self, headers: dict[bytes, bytes]) -> None:
         """Handles a response to a release sent by this proxy; any status acknowledges the release."""
         if headers.get(b"cseq", b"").endswith(b"BYE"):
-            self.downstream.release_acknowledged(parse_call_id(headers))
-            self.downstream.mark_as_caller(self)
+            self.downstream.releases.acknowledged(parse_call_id(headers))
+            self.downstream.releases.mark_as_caller(self)
             self.downstream.drain.connection_settled(self)
 
     def invite(self, number: bytes, headers: dict[bytes, bytes], body: memoryview) -> None:
@@ -171,7 +156,7 @@
             # Only one request is tracked per id, and the caller could not tell which of the two an answer is for.
             raise MessageError(f"Call-ID {request.id} is already in use on this connection")
         self.set_ups[request.id] = self.new_requests[request.id] = request
-        downstream.mark_as_caller(self)
+        downstream.releases.mark_as_caller(self)
         shutdown_since_ms = downstream.readiness.shutdown_since_ms
         if shutdown_since_ms and now_ms > shutdown_since_ms + CLOSE_DESPITE_CALLS_AFTER_MS:
             self.close_despite_calls = True
@@ -190,7 +175,7 @@
         """Handles the release of a call by its caller: answers 200, or 481 if no proxy knows the call."""
         request = self.downstream.engine.established_requests.get(parse_call_id(headers))
         # The caller's release may cross the proxy's own, which is retained until it is acknowledged.
-        known = request is not None or parse_call_id(headers) in self.downstream.pending_releases
+        known = request is not None or self.downstream.releases.is_pending(parse_call_id(headers))
         if not known and self.downstream.release_replicated_call is not None:
             # Encoded now, so that the parsed headers need not be kept until the result arrives.
             echoed = echo_headers(headers)
@@ -261,7 +246,7 @@
 
 
 class Clients(protocol.Factory):
-    """The callers' side of the proxy: all their connections, and the unacknowledged releases."""
+    """The callers' side of the proxy: all their connections, and the releases of their calls."""
 
     noisy = False
 
@@ -273,12 +258,8 @@
             metrics, "clients", max_connections, engine.deadlines, overflow, engine.log
         )
         self.connections = self.inbound.open
-        self.unsent_releases: dict[str, None] = {}  # ids of calls whose release waits for a connection
         self.drain = ConnectionDrain(self.inbound, engine, readiness)
-        self.pending_releases: OrderedDict[str, PendingRelease] = OrderedDict()  # by call id, oldest first
-        # Connections that have sent a set-up or acknowledged a release; the one that did so last is at the end.
-        self.caller_connections: OrderedDict[CallerConnection, None] = OrderedDict()
-        self.resend_scheduled = False
+        self.releases = Releases(engine, self.inbound)
         # Releases a call that this engine does not have, and calls back with whether its server was found.
         # None: calls are not replicated to other proxies.
         self.release_replicated_call: Callable[[str, Callable[[bool], None]], None] | None = None
@@ -286,45 +267,14 @@
     def buildProtocol(self, addr: object) -> CallerConnection | None:
         return CallerConnection(self) if self.inbound.has_capacity() else None
 
-    def connection_opened(self, connection: CallerConnection) -> None:
-        """Sends the releases that wait for a connection."""
-        self._expire_releases()
-        for id_ in list(self.unsent_releases):
-            self._send_release(id_, connection)
-
-    def mark_as_caller(self, connection: CallerConnection) -> None:
-        """Records that the peer is a caller: it has sent a set-up, or acknowledged a release."""
-        if connection in self.connections:
-            self.caller_connections[connection] = None
-            self.caller_connections.move_to_end(connection)
-
-    def _fallback_connection(self, exclude: CallerConnection | None = None) -> CallerConnection | None:
-        """Returns a connection for a release that can't be sent, or got no answer, on the call's own connection.
-
-        This is the one that last sent a set-up or acknowledged a release; if there is none, the one that last sent
-        any message. The first choice avoids peers that only poll for readiness, or stay connected after one request:
-        they don't handle releases, but may have sent the latest message.
-        """
-        for connections in (self.caller_connections, self.connections):
-            found = next(
-                (connection for connection in reversed(connections) if connection is not exclude), None
-            )
-            if found is not None:
-                return found
-        return None
-
     def connection_closed(self, connection: CallerConnection) -> None:
-        """Cancels the set-ups of a closed connection, and sends its unacknowledged releases elsewhere."""
-        self.caller_connections.pop(connection, None)
+        """Sends the unacknowledged releases of a closed connection elsewhere, and cancels its set-ups."""
+        self.releases.connection_closed(connection)
         for id_ in connection.new_requests:
             del connection.set_ups[id_]  # never offered
         connection.new_requests = {}
         for request in list(connection.set_ups.values()):
             self.withdraw(request)
-        self._expire_releases()
-        for id_, pending in list(self.pending_releases.items()):
-            if pending.connection is connection:
-                self._send_release(id_, self._fallback_connection())
 
     def refusal_of_new_requests(self) -> AnswerReason:
         """Returns why a request that has arrived just now is refused, or NONE if it is not."""
@@ -373,65 +323,7 @@
     def call_ended(self, request: Request, cut: bool) -> None:
         """Releases an ended call on its own connection, or on any other that is open."""
         connection = request.context[0]
-        self.release(request.id, cut, connection if connection in self.connections else None)
-
-    def release(self, id_: str, cut: bool, connection: CallerConnection | None = None) -> None:
-        """Sends the release of an ended call to its caller, and resends it until it is acknowledged or expires.
-
-        `cut`: the call did not end normally, as when its server failed.
-        """
-        message = (
-            b"BYE sip:caller@net SIP/2.0\r\nVia: SIP/2.0/TCP proxy\r\nCall-ID: %s\r\nCSeq: 2 BYE\r\n"
-            b"Reason: Q.850;cause=%d\r\nContent-Length: 0\r\n\r\n"
-            % (id_.encode("ascii"), CAUSE_TEMPORARY_FAILURE if cut else CAUSE_NORMAL)
-        )
-        now_ms = self.engine.clock.now_ms()
-        self._expire_releases()
-        self.pending_releases[id_] = PendingRelease(now_ms, message)
-        self._send_release(id_, connection or self._fallback_connection())
-        if not self.resend_scheduled:
-            self.resend_scheduled = True
-            self.engine.deadlines.call_at(now_ms + RESEND_CHECK_INTERVAL_MS, self._resend_releases)
-
-    def _resend_releases(self, _: object = None) -> None:
-        """Sends each release that was not acknowledged in time on another connection, and schedules the next check."""
-        self._expire_releases()
-        if not self.pending_releases:
-            self.resend_scheduled = False
-            return
-        now_ms = self.engine.clock.now_ms()
-        for id_, pending in list(self.pending_releases.items()):
-            if pending.connection is not None and now_ms - pending.sent_ms >= RESEND_AFTER_MS * (
-                1 << pending.send_count - 1
-            ):
-                other = self._fallback_connection(exclude=pending.connection)
-                if other is not None:
-                    self.metrics.add("clients.releases_retold")
-                    self._send_release(id_, other)
-        self.engine.deadlines.call_at(now_ms + RESEND_CHECK_INTERVAL_MS, self._resend_releases)
-
-    def release_acknowledged(self, id_: str) -> None:
-        """Stops resending the release of a call."""
-        self.pending_releases.pop(id_, None)
-        self.unsent_releases.pop(id_, None)
-
-    def _send_release(self, id_: str, connection: CallerConnection | None) -> None:
-        """Sends a pending release, or lets it wait for the next connection if there is none or it is stalled."""
-        pending = self.pending_releases[id_]
-        sent = connection is not None and connection.send(pending.message)
-        pending.connection = connection if sent else None
-        if sent:
-            pending.sent_ms = self.engine.clock.now_ms()
-            pending.send_count += 1
-            self.unsent_releases.pop(id_, None)
-        else:
-            self.unsent_releases[id_] = None
-
-    def _expire_releases(self) -> None:
-        """Removes releases older than RELEASE_TTL_MS."""
-        oldest_ms = self.engine.clock.now_ms() - RELEASE_TTL_MS
-        while self.pending_releases and next(iter(self.pending_releases.values())).ended_ms < oldest_ms:
-            self.unsent_releases.pop(self.pending_releases.popitem(last=False)[0], None)
+        self.releases.release(request.id, cut, connection if connection in self.connections else None)
 
     def _answer(self, request: Request, status_line: bytes, *rest: bytes | memoryview) -> None:
         """Sends a final answer if the connection of the set-up is open; `rest` follows the echoed headers."""
--- /dev/null
+++ b/leadslip/net/releases.py
@@ -0,0 +1,137 @@
+"""Releases of ended calls: each is sent to a caller, and resent until one acknowledges it or it expires.
+
+No connection owns an established call: its release may be sent on any connection from callers.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+
+from leadslip.core import Engine
+from leadslip.net.connections import InboundConnection, InboundConnections
+
+RELEASE_TTL_MS = 8000.0  # after this time since the call's end, an unacknowledged release is dropped
+RESEND_AFTER_MS = 300.0  # until an unacknowledged release is sent on another connection; doubles each time
+RESEND_CHECK_INTERVAL_MS = 100.0  # while any release is unacknowledged
+CAUSE_NORMAL, CAUSE_TEMPORARY_FAILURE = 16, 41  # ITU-T Q.850 cause values, in the Reason header of a release
+
+
+class PendingRelease:
+    """The release of an ended call until a caller has acknowledged it."""
+
+    __slots__ = ("ended_ms", "message", "connection", "sent_ms", "send_count")
+
+    def __init__(self, ended_ms: float, message: bytes) -> None:
+        self.ended_ms, self.message = ended_ms, message
+        self.connection: InboundConnection | None = None  # where it was last sent; None: waits for one
+        self.sent_ms, self.send_count = 0.0, 0
+
+
+class Releases:
+    """The unacknowledged releases of one proxy's calls, and the connections on which callers can be told of them."""
+
+    def __init__(self, engine: Engine, inbound: InboundConnections) -> None:
+        self.engine, self.inbound = engine, inbound
+        self.pending: OrderedDict[str, PendingRelease] = OrderedDict()  # by call id, oldest first
+        self.unsent: dict[str, None] = {}  # ids of calls whose release waits for a connection
+        # Connections that have sent a set-up or acknowledged a release; the one that did so last is at the end.
+        self.callers: OrderedDict[InboundConnection, None] = OrderedDict()
+        self.resend_scheduled = False
+
+    def is_pending(self, id_: str) -> bool:
+        """Returns whether a call has ended and no caller has acknowledged its release yet."""
+        return id_ in self.pending
+
+    def connection_opened(self, connection: InboundConnection) -> None:
+        """Sends the releases that wait for a connection."""
+        self._expire()
+        for id_ in list(self.unsent):
+            self._send(id_, connection)
+
+    def connection_closed(self, connection: InboundConnection) -> None:
+        """Sends the unacknowledged releases of a closed connection elsewhere."""
+        self.callers.pop(connection, None)
+        self._expire()
+        for id_, pending in list(self.pending.items()):
+            if pending.connection is connection:
+                self._send(id_, self._fallback_connection())
+
+    def mark_as_caller(self, connection: InboundConnection) -> None:
+        """Records that the peer is a caller: it has sent a set-up, or acknowledged a release."""
+        if connection in self.inbound.open:
+            self.callers[connection] = None
+            self.callers.move_to_end(connection)
+
+    def release(self, id_: str, cut: bool, connection: InboundConnection | None = None) -> None:
+        """Sends the release of an ended call to its caller, and resends it until it is acknowledged or expires.
+
+        `cut`: the call did not end normally, as when its server failed. `connection`: where the call was set up, if
+        that is known and still open.
+        """
+        message = (
+            b"BYE sip:caller@net SIP/2.0\r\nVia: SIP/2.0/TCP proxy\r\nCall-ID: %s\r\nCSeq: 2 BYE\r\n"
+            b"Reason: Q.850;cause=%d\r\nContent-Length: 0\r\n\r\n"
+            % (id_.encode("ascii"), CAUSE_TEMPORARY_FAILURE if cut else CAUSE_NORMAL)
+        )
+        now_ms = self.engine.clock.now_ms()
+        self._expire()
+        self.pending[id_] = PendingRelease(now_ms, message)
+        self._send(id_, connection or self._fallback_connection())
+        if not self.resend_scheduled:
+            self.resend_scheduled = True
+            self.engine.deadlines.call_at(now_ms + RESEND_CHECK_INTERVAL_MS, self._resend)
+
+    def acknowledged(self, id_: str) -> None:
+        """Stops resending the release of a call."""
+        self.pending.pop(id_, None)
+        self.unsent.pop(id_, None)
+
+    def _fallback_connection(self, exclude: InboundConnection | None = None) -> InboundConnection | None:
+        """Returns a connection for a release that can't be sent, or got no answer, on the call's own connection.
+
+        This is the one that last sent a set-up or acknowledged a release; if there is none, the one that last sent
+        any message. The first choice avoids peers that only poll for readiness, or stay connected after one request:
+        they don't handle releases, but may have sent the latest message.
+        """
+        for connections in (self.callers, self.inbound.open):
+            found = next(
+                (connection for connection in reversed(connections) if connection is not exclude), None
+            )
+            if found is not None:
+                return found
+        return None
+
+    def _resend(self, _: object = None) -> None:
+        """Sends each release that was not acknowledged in time on another connection, and schedules the next check."""
+        self._expire()
+        if not self.pending:
+            self.resend_scheduled = False
+            return
+        now_ms = self.engine.clock.now_ms()
+        for id_, pending in list(self.pending.items()):
+            if pending.connection is not None and now_ms - pending.sent_ms >= RESEND_AFTER_MS * (
+                1 << pending.send_count - 1
+            ):
+                other = self._fallback_connection(exclude=pending.connection)
+                if other is not None:
+                    self.inbound.metrics.add("clients.releases_retold")
+                    self._send(id_, other)
+        self.engine.deadlines.call_at(now_ms + RESEND_CHECK_INTERVAL_MS, self._resend)
+
+    def _send(self, id_: str, connection: InboundConnection | None) -> None:
+        """Sends a pending release, or lets it wait for the next connection if there is none or it is stalled."""
+        pending = self.pending[id_]
+        sent = connection is not None and connection.send(pending.message)
+        pending.connection = connection if sent else None
+        if sent:
+            pending.sent_ms = self.engine.clock.now_ms()
+            pending.send_count += 1
+            self.unsent.pop(id_, None)
+        else:
+            self.unsent[id_] = None
+
+    def _expire(self) -> None:
+        """Removes releases older than RELEASE_TTL_MS."""
+        oldest_ms = self.engine.clock.now_ms() - RELEASE_TTL_MS
+        while self.pending and next(iter(self.pending.values())).ended_ms < oldest_ms:
+            self.unsent.pop(self.pending.popitem(last=False)[0], None)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -525,7 +525,7 @@
         b"SIP/2.0 200 OK\r\nCall-ID: %s\r\nCSeq: 2 BYE\r\nContent-Length: 0\r\n\r\n" % ID.encode()
     )
     world.wait(5000)
-    assert releases() == [1, 1, 0] and not connection.downstream.pending_releases, "acknowledged"
+    assert releases() == [1, 1, 0] and not connection.downstream.releases.pending, "acknowledged"
 
 
 def test_the_release_of_a_call_without_an_open_connection_goes_to_the_next_one_opened():
