Log each release of an ended call: where it was sent, its acknowledgement, its expiry

Need: the log could not say whether an end that a caller missed had not been heard, was written to a peer that is no caller, or was never written; nor whether a closed connection still had calls.

Change: at level debug, clients.closed has calls=, and release.sent, release.waits, release.acknowledged and release.expired have the call's id, the time since its end, the peer and whether it is the call's own connection. The counter clients.releases_expired says how many ends nobody acknowledged. Each connection knows the calls that were established on it.

--- a/leadslip/net/clients.py
+++ b/leadslip/net/clients.py
@@ -44,6 +44,7 @@
         )
         self.inbound = downstream.inbound
         self.set_ups: dict[str, Request] = {}  # awaiting an answer on this connection
+        self.calls: set[str] = set()  # ids of the calls that were established on this connection and go on
         self.new_requests: dict[str, Request] = {}  # of the current read, not offered yet
 
     def connectionMade(self) -> None:
@@ -53,6 +54,9 @@
     def awaits_answer(self) -> bool:
         return bool(self.set_ups)
 
+    def established_calls(self) -> int:
+        return len(self.calls)
+
     def on_closed(self) -> None:
         self.downstream.connection_closed(self)
 
@@ -113,7 +117,7 @@
     def response_received(self, headers: dict[bytes, bytes]) -> None:
         """Handles a response to a release sent by this proxy; any status acknowledges the release."""
         if headers.get(b"cseq", b"").endswith(b"BYE"):
-            self.downstream.releases.acknowledged(parse_call_id(headers))
+            self.downstream.releases.acknowledged(parse_call_id(headers), self)
             self.downstream.releases.mark_as_caller(self)
             self.downstream.drain.connection_settled(self)
 
@@ -189,6 +193,7 @@
             return
         self.reply(b"200 OK" if known else UNKNOWN_CALL, headers)
         if request is not None:
+            request.context[0].calls.discard(request.id)
             self.downstream.engine.hang_up(request)
             self.downstream.drain.connection_settled(request.context[0])
 
@@ -310,6 +315,7 @@
     # Called by the engine.
 
     def on_established(self, request: Request, payload: object) -> None:
+        request.context[0].calls.add(request.id)
         length_header = b"Content-Length: %d\r\n\r\n" % len(payload)
         self._answer(request, b"SIP/2.0 200 OK\r\n", length_header, payload)
 
@@ -323,6 +329,7 @@
     def call_ended(self, request: Request, cut: bool) -> None:
         """Releases an ended call on its own connection, or on any other that is open."""
         connection = request.context[0]
+        connection.calls.discard(request.id)
         self.releases.release(request.id, cut, connection if connection in self.connections else None)
 
     def _answer(self, request: Request, status_line: bytes, *rest: bytes | memoryview) -> None:
--- a/leadslip/net/connections.py
+++ b/leadslip/net/connections.py
@@ -216,6 +216,10 @@
         """Returns whether an answer is pending on this connection."""
         raise NotImplementedError
 
+    def established_calls(self) -> int:
+        """Returns the number of calls that were established on this connection and go on."""
+        return 0
+
     def on_closed(self) -> None:
         """Called once when the connection has closed or starts to close, to drop its pending answers."""
         raise NotImplementedError
@@ -317,6 +321,7 @@
             peer=connection.peer_name,
             open_ms=round(now_ms - connection.opened_ms),
             awaits_answer=connection.awaits_answer(),
+            calls=connection.established_calls(),
         )
 
     def remove(self, connection: InboundConnection) -> None:
--- a/leadslip/net/releases.py
+++ b/leadslip/net/releases.py
@@ -19,10 +19,11 @@
 class PendingRelease:
     """The release of an ended call until a caller has acknowledged it."""
 
-    __slots__ = ("ended_ms", "message", "connection", "sent_ms", "send_count")
+    __slots__ = ("ended_ms", "message", "own_connection", "connection", "sent_ms", "send_count")
 
-    def __init__(self, ended_ms: float, message: bytes) -> None:
+    def __init__(self, ended_ms: float, message: bytes, own_connection: InboundConnection | None) -> None:
         self.ended_ms, self.message = ended_ms, message
+        self.own_connection = own_connection  # where the call was set up; None: unknown, or closed
         self.connection: InboundConnection | None = None  # where it was last sent; None: waits for one
         self.sent_ms, self.send_count = 0.0, 0
 
@@ -75,16 +76,18 @@
         )
         now_ms = self.engine.clock.now_ms()
         self._expire()
-        self.pending[id_] = PendingRelease(now_ms, message)
+        self.pending[id_] = PendingRelease(now_ms, message, connection)
         self._send(id_, connection or self._fallback_connection())
         if not self.resend_scheduled:
             self.resend_scheduled = True
             self.engine.deadlines.call_at(now_ms + RESEND_CHECK_INTERVAL_MS, self._resend)
 
-    def acknowledged(self, id_: str) -> None:
-        """Stops resending the release of a call."""
-        self.pending.pop(id_, None)
+    def acknowledged(self, id_: str, connection: InboundConnection) -> None:
+        """Stops resending the release of a call, which was acknowledged on a connection."""
+        pending = self.pending.pop(id_, None)
         self.unsent.pop(id_, None)
+        if pending is not None:
+            self._log("release.acknowledged", id_, pending, peer=connection.peer_name)
 
     def _fallback_connection(self, exclude: InboundConnection | None = None) -> InboundConnection | None:
         """Returns a connection for a release that can't be sent, or got no answer, on the call's own connection.
@@ -127,11 +130,27 @@
             pending.sent_ms = self.engine.clock.now_ms()
             pending.send_count += 1
             self.unsent.pop(id_, None)
+            self._log(
+                "release.sent",
+                id_,
+                pending,
+                peer=connection.peer_name,
+                own=connection is pending.own_connection,
+            )
         else:
             self.unsent[id_] = None
+            self._log("release.waits", id_, pending)
 
     def _expire(self) -> None:
-        """Removes releases older than RELEASE_TTL_MS."""
+        """Removes releases older than RELEASE_TTL_MS, and counts them: nobody has acknowledged them."""
         oldest_ms = self.engine.clock.now_ms() - RELEASE_TTL_MS
         while self.pending and next(iter(self.pending.values())).ended_ms < oldest_ms:
-            self.unsent.pop(self.pending.popitem(last=False)[0], None)
+            id_, pending = self.pending.popitem(last=False)
+            self.unsent.pop(id_, None)
+            self.inbound.metrics.add("clients.releases_expired")
+            self._log("release.expired", id_, pending)
+
+    def _log(self, event: str, id_: str, pending: PendingRelease, **fields: object) -> None:
+        """Logs at level `debug` what becomes of a release."""
+        after_ms = round(self.engine.clock.now_ms() - pending.ended_ms)
+        self.inbound.log(event, level="debug", id=id_, after_ms=after_ms, sends=pending.send_count, **fields)
