--- a/leadslip/net/connections.py
+++ b/leadslip/net/connections.py
@@ -149,6 +149,7 @@
     processing_read = False  # dataReceived is running
     overflow = False  # accepted over the limit: its requests are refused, and it is closed
     close_despite_calls = False  # a drain closes it even if calls established on it go on
+    unacknowledged_releases = 0  # number of releases of ended calls that were last sent on this connection
     peer_name = ""  # the peer's address and port, for the log
 
     def connectionMade(self) -> None:
@@ -220,6 +221,10 @@
         """Returns the number of calls that were established on this connection and go on."""
         return 0
 
+    def serves_calls(self) -> bool:
+        """Returns whether a call established on this connection goes on, or a release on it is unacknowledged."""
+        return bool(self.established_calls() or self.unacknowledged_releases)
+
     def on_closed(self) -> None:
         """Called once when the connection has closed or starts to close, to drop its pending answers."""
         raise NotImplementedError
@@ -256,7 +261,7 @@
         self.check_connections()
 
     def has_capacity(self) -> bool:
-        """Returns whether one more connection may be accepted; at the limit, first closes one that awaits no answer."""
+        """Returns whether one more connection may be accepted; at the limit, first closes the least useful one."""
         if len(self.open) < self.max_connections:
             return True
         candidate = self._eviction_candidate()
@@ -274,18 +279,22 @@
     def _eviction_candidate(self) -> InboundConnection | None:
         """Returns the connection to close at the limit, or None if an answer is pending on each.
 
-        Prefers one that has sent no message, then the one idle for longest, then one with a partial message.
+        Prefers one that has sent no message, then the one idle for longest, then one with a partial message. Only if
+        each serves calls, it is the one of these idle for longest: the ends of its calls must then be told on other
+        connections.
         """
-        unfinished = None
+        unfinished, serving = None, []
         for connections in (self.no_message_yet, self.open):
             for connection in list(connections):
                 if connection.awaits_answer():
                     continue
-                if connection.partial_since_ms:
+                if connection.serves_calls():
+                    serving.append(connection)
+                elif connection.partial_since_ms:
                     unfinished = unfinished or connection
                 elif self._is_still_idle(connection):
                     return connection
-        return unfinished
+        return unfinished or next(filter(self._is_still_idle, serving), None)
 
     def _is_still_idle(self, connection: InboundConnection) -> bool:
         """Processes data in the socket of an idle connection; returns whether it is open and idle even then.
--- a/leadslip/net/releases.py
+++ b/leadslip/net/releases.py
@@ -76,6 +76,7 @@
         )
         now_ms = self.engine.clock.now_ms()
         self._expire()
+        self._forget(id_)  # of an earlier call with this id
         self.pending[id_] = PendingRelease(now_ms, message, connection)
         self._send(id_, connection or self._fallback_connection())
         if not self.resend_scheduled:
@@ -84,8 +85,7 @@
 
     def acknowledged(self, id_: str, connection: InboundConnection) -> None:
         """Stops resending the release of a call, which was acknowledged on a connection."""
-        pending = self.pending.pop(id_, None)
-        self.unsent.pop(id_, None)
+        pending = self._forget(id_)
         if pending is not None:
             self._log("release.acknowledged", id_, pending, peer=connection.peer_name)
 
@@ -125,7 +125,7 @@
         """Sends a pending release, or lets it wait for the next connection if there is none or it is stalled."""
         pending = self.pending[id_]
         sent = connection is not None and connection.send(pending.message)
-        pending.connection = connection if sent else None
+        self._assign(pending, connection if sent else None)
         if sent:
             pending.sent_ms = self.engine.clock.now_ms()
             pending.send_count += 1
@@ -141,14 +141,30 @@
             self.unsent[id_] = None
             self._log("release.waits", id_, pending)
 
+    @staticmethod
+    def _assign(pending: PendingRelease, connection: InboundConnection | None) -> None:
+        """Records on which connection a release was last sent, and there that it is unacknowledged."""
+        if pending.connection is not None:
+            pending.connection.unacknowledged_releases -= 1
+        if connection is not None:
+            connection.unacknowledged_releases += 1
+        pending.connection = connection
+
+    def _forget(self, id_: str) -> PendingRelease | None:
+        """Removes and returns the pending release of a call, if there is one."""
+        self.unsent.pop(id_, None)
+        pending = self.pending.pop(id_, None)
+        if pending is not None:
+            self._assign(pending, None)
+        return pending
+
     def _expire(self) -> None:
         """Removes releases older than RELEASE_TTL_MS, and counts them: nobody has acknowledged them."""
         oldest_ms = self.engine.clock.now_ms() - RELEASE_TTL_MS
         while self.pending and next(iter(self.pending.values())).ended_ms < oldest_ms:
-            id_, pending = self.pending.popitem(last=False)
-            self.unsent.pop(id_, None)
+            id_ = next(iter(self.pending))
             self.inbound.metrics.add("clients.releases_expired")
-            self._log("release.expired", id_, pending)
+            self._log("release.expired", id_, self._forget(id_))
 
     def _log(self, event: str, id_: str, pending: PendingRelease, **fields: object) -> None:
         """Logs at level `debug` what becomes of a release."""
--- /dev/null
+++ b/tests/test_releases.py
@@ -0,0 +1,138 @@
+"""The ends of calls are told to callers, whoever else is connected: on fake transports, and by the program.
+
+Callers answer a release; the other peers here only send set-ups that are refused, and never answer anything.
+"""
+
+import time
+
+from leadslip import interface
+from leadslip.net.clients import Clients
+from leadslip.readiness import Readiness
+from tests.standins import Caller, Program, SetupServer
+from tests.test_core import EngineFixture
+from tests.test_links import INVITE, Transport
+
+MAX_CONNECTIONS, OVERFLOW = 10, 2
+RELEASE_LIMIT_MS = 1000.0  # the protocol's limit for telling a caller of a call's end
+
+
+class CallersSide:
+    """The callers' side of a proxy, with connections on fake transports; established calls go on until `end`."""
+
+    def __init__(self):
+        self.world = EngineFixture()
+        self.clients = Clients(
+            self.world.engine, self.world.metrics, MAX_CONNECTIONS, Readiness(listening=True), OVERFLOW
+        )
+        self.call_count = 0
+
+    def connect(self):
+        """Opens a connection; the transport of one that is closed for it reports its loss."""
+        connection = self.clients.buildProtocol(None)
+        for closing in list(self.clients.inbound.closing):
+            closing.connectionLost()
+        connection.makeConnection(Transport())
+        return connection
+
+    def send_set_up(self, connection, call_class=b"plain"):
+        """Sends a set-up on a connection; returns the call's id."""
+        self.call_count += 1
+        id_ = f"{self.call_count:016x}"
+        set_up = INVITE.replace(b"9b1f03aa5c7e2d41", id_.encode()).replace(b"plain", call_class)
+        connection.dataReceived(set_up)
+        return id_
+
+    def establish(self, connection):
+        """Establishes a call that is set up on a connection; returns its attempt."""
+        self.send_set_up(connection)
+        attempt = self.world.sent[-1]
+        self.world.engine.on_established(attempt, b"sdp")
+        return attempt
+
+    def connect_refused(self):
+        """Opens a connection with one refused set-up, of a class that does not exist."""
+        connection = self.connect()
+        self.send_set_up(connection, b"no-such-class")
+        assert b" 503 " in connection.transport.value()
+        return connection
+
+    def end(self, attempt):
+        """The server reports the end of a call."""
+        self.world.engine.on_attempt_ended(attempt, interface.Outcome.SERVED)
+
+    def is_open(self, connection):
+        return connection in self.clients.connections
+
+
+def is_told(connection, attempt):
+    """Returns whether the release of a call has been written on a connection."""
+    return b"BYE sip:caller@net SIP/2.0\r\nVia: SIP/2.0/TCP proxy\r\nCall-ID: %s\r\n" % (
+        attempt.request.id.encode()
+    ) in (connection.transport.value())
+
+
+def acknowledge(connection, attempt):
+    """The peer of a connection answers the release of a call."""
+    id_ = attempt.request.id.encode()
+    connection.dataReceived(
+        b"SIP/2.0 200 OK\r\nCall-ID: %s\r\nCSeq: 2 BYE\r\nContent-Length: 0\r\n\r\n" % id_
+    )
+
+
+def test_at_the_limit_the_connection_of_an_established_call_is_not_closed():
+    """Guards against closing it as the one idle longest: its caller has nothing to send while the call goes on."""
+    side = CallersSide()
+    caller = side.connect()
+    attempt = side.establish(caller)
+    refused = [side.connect_refused() for _ in range(5 * MAX_CONNECTIONS)]
+    assert side.is_open(caller) and sum(map(side.is_open, refused)) == MAX_CONNECTIONS - 1
+    side.end(attempt)
+    assert is_told(caller, attempt)
+
+
+def test_at_the_limit_one_of_only_connections_with_calls_is_closed_and_its_call_is_told_on_another():
+    side = CallersSide()
+    callers = [side.connect() for _ in range(MAX_CONNECTIONS)]
+    attempts = [side.establish(caller) for caller in callers]
+    newcomer = side.connect()
+    assert [side.is_open(caller) for caller in callers] == [False] + [True] * (MAX_CONNECTIONS - 1)
+    assert side.is_open(newcomer)
+    side.end(attempts[0])
+    assert sum(is_told(caller, attempts[0]) for caller in callers[1:]) == 1
+
+
+def test_at_the_limit_a_connection_stays_open_until_the_release_on_it_is_acknowledged():
+    """Guards against closing it between the release and its acknowledgement, so that others are told as well."""
+    side = CallersSide()
+    caller = side.connect()
+    attempt = side.establish(caller)
+    for _ in range(MAX_CONNECTIONS):
+        side.connect_refused()
+    side.end(attempt)
+    refused = [side.connect_refused() for _ in range(MAX_CONNECTIONS)]
+    assert side.is_open(caller) and is_told(caller, attempt)
+    assert not any(is_told(connection, attempt) for connection in refused)
+    acknowledge(caller, attempt)
+    for _ in range(MAX_CONNECTIONS):
+        side.connect_refused()
+    assert not side.is_open(caller), "no call is left on it"
+
+
+def test_a_caller_is_told_of_its_calls_end_while_refused_peers_fill_the_connections(tmp_path):
+    """Guards against the same in the running program: peers that ask once and stay crowd out a standing call."""
+    server = SetupServer("hold")
+    program = Program(tmp_path, {"s0": server.address}, limits={"sockets": 96})
+    caller = Caller(program)
+    caller.invite(f"{1:016x}")
+    assert caller.receive()[0] == "SIP/2.0 200 OK"
+    refused = []
+    for i in range(80):
+        refused.append(Caller(program))
+        refused[-1].invite(f"{100 + i:016x}", call_class="no-such-class")
+        assert refused[-1].receive()[0].startswith("SIP/2.0 503")
+    ended_at = time.monotonic()
+    server.release_all()
+    assert caller.receive()[0].startswith("BYE ")
+    assert time.monotonic() - ended_at < RELEASE_LIMIT_MS / 1000.0
+    assert program.stop() == 0
+    assert program.counts()["clients.over_limit"] > 20
