Do not count a connection as idle while a call established on it goes on

What callers saw: 15 s after a caller's last message its connection was closed though its call stood.

Cause: the idle time-out asked only whether an answer is pending on a connection, as the limit of connections did.

Measured: the new test fails without the change (the caller's connection is closed) and passes with it; once the call's release is acknowledged, the connection is idle after 15 s again.

--- a/leadslip/net/connections.py
+++ b/leadslip/net/connections.py
@@ -23,7 +23,7 @@
 
 MAX_MESSAGE_BYTES = 16 * 1024  # the protocol's limit
 FIRST_MESSAGE_TIMEOUT_MS = 2000.0  # for a peer to send its first message, and to finish any message
-IDLE_TIMEOUT_MS = 15_000.0  # for a connection without a pending answer
+IDLE_TIMEOUT_MS = 15_000.0  # for a connection without a pending answer and without calls
 CHECK_INTERVAL_MS = 200.0
 WRITE_STALL_TIMEOUT_MS = 2000.0  # for a peer to resume reading what was written to it
 OVERFLOW_TIMEOUT_MS = 500.0  # for a connection over the limit to send the request that is then refused
@@ -372,6 +372,7 @@
                 connection.last_received_ms
                 and now_ms - connection.last_received_ms > IDLE_TIMEOUT_MS
                 and not connection.awaits_answer()
+                and not connection.serves_calls()
             ):
                 reason = "idle"
             else:
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -7,6 +7,7 @@
 
 from leadslip import interface
 from leadslip.net.clients import Clients
+from leadslip.net.connections import IDLE_TIMEOUT_MS
 from leadslip.readiness import Readiness
 from tests.standins import Caller, Program, SetupServer
 from tests.test_core import EngineFixture
@@ -136,3 +137,18 @@
     assert time.monotonic() - ended_at < RELEASE_LIMIT_MS / 1000.0
     assert program.stop() == 0
     assert program.counts()["clients.over_limit"] > 20
+
+
+def test_a_connection_is_not_idle_while_a_call_established_on_it_goes_on():
+    """Guards against the idle time-out closing it while its caller has nothing to send: the call's end went untold."""
+    side = CallersSide()
+    caller, other = side.connect(), side.connect_refused()
+    attempt = side.establish(caller)
+    side.world.wait(2 * IDLE_TIMEOUT_MS)
+    assert side.is_open(caller) and not side.is_open(other)
+    side.end(attempt)
+    assert is_told(caller, attempt)
+    side.world.wait(100)
+    acknowledge(caller, attempt)
+    side.world.wait(IDLE_TIMEOUT_MS + 300)
+    assert not side.is_open(caller), "no call is left on it"
