Do not close a connection with a standing call for an unfinished message

What callers would see: a caller that pauses for over 2 s within a message, as peers that write in pieces or fall silent do, loses the connection of its standing call, and the call's end has to be told on another one. Found by a search for other places that close connections, after the limit and the idle time-out; seen in the test, not in a record.

Cause: the time-out of unfinished messages asked only whether an answer is pending, as the two others did.

Change: none of the time-outs closes a connection that serves calls; it ends with its calls, so its time stays bounded. The choice of the time-out is a function of its own. A drain still closes such a connection at its own limit, and a peer that never sent a whole message is closed after 2 s as before.

--- a/leadslip/net/connections.py
+++ b/leadslip/net/connections.py
@@ -359,29 +359,28 @@
         now_ms = self.deadlines.clock.now_ms()
         self.abort_closing(WRITE_STALL_TIMEOUT_MS)
         for connection in list(self.open):
-            if not connection.last_received_ms and now_ms - connection.opened_ms > (
-                OVERFLOW_TIMEOUT_MS if connection.overflow else FIRST_MESSAGE_TIMEOUT_MS
-            ):
-                reason = "silent"
-            elif (
-                connection.partial_since_ms
-                and now_ms - connection.partial_since_ms > FIRST_MESSAGE_TIMEOUT_MS
-            ):
-                reason = "unfinished"
-            elif (
-                connection.last_received_ms
-                and now_ms - connection.last_received_ms > IDLE_TIMEOUT_MS
-                and not connection.awaits_answer()
-                and not connection.serves_calls()
-            ):
-                reason = "idle"
-            else:
+            reason = self._timed_out(connection, now_ms)
+            if reason is None:
                 continue
             self.metrics.add(f"{self.peer_kind}.{reason}")
             if self._is_still_idle(connection):
                 self.close(connection, reason)
         self.deadlines.call_at(now_ms + CHECK_INTERVAL_MS, self.check_connections)
 
+    @staticmethod
+    def _timed_out(connection: InboundConnection, now_ms: float) -> str | None:
+        """Returns which time-out of a connection has passed, or None."""
+        if not connection.last_received_ms:
+            limit_ms = OVERFLOW_TIMEOUT_MS if connection.overflow else FIRST_MESSAGE_TIMEOUT_MS
+            return "silent" if now_ms - connection.opened_ms > limit_ms else None
+        if connection.serves_calls():
+            return None
+        partial_since_ms = connection.partial_since_ms
+        if partial_since_ms and now_ms - partial_since_ms > FIRST_MESSAGE_TIMEOUT_MS:
+            return "unfinished"
+        idle = now_ms - connection.last_received_ms > IDLE_TIMEOUT_MS and not connection.awaits_answer()
+        return "idle" if idle else None
+
 
 class TextMessageReceiver(Connection, LineReceiver):
     """Receives text messages: a header block that ends with an empty line, and a body of the length it declares."""
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -7,7 +7,7 @@
 
 from leadslip import interface
 from leadslip.net.clients import Clients
-from leadslip.net.connections import IDLE_TIMEOUT_MS
+from leadslip.net.connections import FIRST_MESSAGE_TIMEOUT_MS, IDLE_TIMEOUT_MS
 from leadslip.readiness import Readiness
 from tests.standins import Caller, Program, SetupServer
 from tests.test_core import EngineFixture
@@ -152,3 +152,16 @@
     acknowledge(caller, attempt)
     side.world.wait(IDLE_TIMEOUT_MS + 300)
     assert not side.is_open(caller), "no call is left on it"
+
+
+def test_an_unfinished_message_closes_no_connection_on_which_a_call_goes_on():
+    """Guards against closing it for a caller that writes slowly or pauses: the call's end then has to go elsewhere."""
+    side = CallersSide()
+    caller, other = side.connect(), side.connect_refused()
+    attempt = side.establish(caller)
+    for connection in (caller, other):
+        connection.dataReceived(INVITE[:40])
+    side.world.wait(FIRST_MESSAGE_TIMEOUT_MS + 300)
+    assert side.is_open(caller) and not side.is_open(other)
+    side.end(attempt)
+    assert is_told(caller, attempt)
