--- a/leadslip/net/clients.py
+++ b/leadslip/net/clients.py
@@ -11,7 +11,7 @@
 from leadslip.metrics import Metrics
 from leadslip.net.connections import InboundConnection, InboundConnections, MessageError, TextMessageReceiver
 from leadslip.net.drain import ConnectionDrain
-from leadslip.net.releases import Releases
+from leadslip.net.releases import CallerEvidence, Releases
 from leadslip.readiness import Readiness
 from leadslip.request import AnswerReason
 
@@ -118,7 +118,7 @@
         """Handles a response to a release sent by this proxy; any status acknowledges the release."""
         if headers.get(b"cseq", b"").endswith(b"BYE"):
             self.downstream.releases.acknowledged(parse_call_id(headers), self)
-            self.downstream.releases.mark_as_caller(self)
+            self.downstream.releases.add_evidence(self, CallerEvidence.ACKNOWLEDGED)
             self.downstream.drain.connection_settled(self)
 
     def invite(self, number: bytes, headers: dict[bytes, bytes], body: memoryview) -> None:
@@ -160,7 +160,7 @@
             # Only one request is tracked per id, and the caller could not tell which of the two an answer is for.
             raise MessageError(f"Call-ID {request.id} is already in use on this connection")
         self.set_ups[request.id] = self.new_requests[request.id] = request
-        downstream.releases.mark_as_caller(self)
+        downstream.releases.add_evidence(self, CallerEvidence.SET_UP)
         shutdown_since_ms = downstream.readiness.shutdown_since_ms
         if shutdown_since_ms and now_ms > shutdown_since_ms + CLOSE_DESPITE_CALLS_AFTER_MS:
             self.close_despite_calls = True
@@ -315,7 +315,9 @@
     # Called by the engine.
 
     def on_established(self, request: Request, payload: object) -> None:
-        request.context[0].calls.add(request.id)
+        connection = request.context[0]
+        connection.calls.add(request.id)
+        self.releases.add_evidence(connection, CallerEvidence.ESTABLISHED)
         length_header = b"Content-Length: %d\r\n\r\n" % len(payload)
         self._answer(request, b"SIP/2.0 200 OK\r\n", length_header, payload)
 
--- a/leadslip/net/releases.py
+++ b/leadslip/net/releases.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from enum import IntEnum
 
 from leadslip.core import Engine
 from leadslip.net.connections import InboundConnection, InboundConnections
@@ -16,6 +17,15 @@
 CAUSE_NORMAL, CAUSE_TEMPORARY_FAILURE = 16, 41  # ITU-T Q.850 cause values, in the Reason header of a release
 
 
+class CallerEvidence(IntEnum):
+    """What suggests that the peer of a connection is a caller, which handles releases; in rising order."""
+
+    NONE = 0  # it may only poll for readiness, for example
+    SET_UP = 1  # it has sent a set-up; these may all have been refused
+    ESTABLISHED = 2  # a call was established on the connection
+    ACKNOWLEDGED = 3  # it has acknowledged a release
+
+
 class PendingRelease:
     """The release of an ended call until a caller has acknowledged it."""
 
@@ -35,8 +45,8 @@
         self.engine, self.inbound = engine, inbound
         self.pending: OrderedDict[str, PendingRelease] = OrderedDict()  # by call id, oldest first
         self.unsent: dict[str, None] = {}  # ids of calls whose release waits for a connection
-        # Connections that have sent a set-up or acknowledged a release; the one that did so last is at the end.
-        self.callers: OrderedDict[InboundConnection, None] = OrderedDict()
+        # Connections with any evidence, and the strongest; the one that last gave any is at the end.
+        self.callers: OrderedDict[InboundConnection, CallerEvidence] = OrderedDict()
         self.resend_scheduled = False
 
     def is_pending(self, id_: str) -> bool:
@@ -57,10 +67,10 @@
             if pending.connection is connection:
                 self._send(id_, self._fallback_connection())
 
-    def mark_as_caller(self, connection: InboundConnection) -> None:
-        """Records that the peer is a caller: it has sent a set-up, or acknowledged a release."""
+    def add_evidence(self, connection: InboundConnection, evidence: CallerEvidence) -> None:
+        """Records that the peer of a connection has done what callers do."""
         if connection in self.inbound.open:
-            self.callers[connection] = None
+            self.callers[connection] = max(evidence, self.callers.get(connection, CallerEvidence.NONE))
             self.callers.move_to_end(connection)
 
     def release(self, id_: str, cut: bool, connection: InboundConnection | None = None) -> None:
@@ -92,17 +102,18 @@
     def _fallback_connection(self, exclude: InboundConnection | None = None) -> InboundConnection | None:
         """Returns a connection for a release that can't be sent, or got no answer, on the call's own connection.
 
-        This is the one that last sent a set-up or acknowledged a release; if there is none, the one that last sent
-        any message. The first choice avoids peers that only poll for readiness, or stay connected after one request:
-        they don't handle releases, but may have sent the latest message.
+        This is the one with the strongest evidence that its peer is a caller, the latest first; without any evidence,
+        the one that last sent any message. Peers that stay connected after a refused set-up, or only poll for
+        readiness, do not handle releases, but may have sent the latest message.
         """
-        for connections in (self.callers, self.inbound.open):
-            found = next(
-                (connection for connection in reversed(connections) if connection is not exclude), None
-            )
-            if found is not None:
-                return found
-        return None
+        found, found_evidence = None, CallerEvidence.NONE
+        for connection, evidence in reversed(self.callers.items()):
+            if evidence > found_evidence and connection is not exclude:
+                found, found_evidence = connection, evidence
+        if found is not None:
+            return found
+        others = (connection for connection in reversed(self.inbound.open) if connection is not exclude)
+        return next(others, None)
 
     def _resend(self, _: object = None) -> None:
         """Sends each release that was not acknowledged in time on another connection, and schedules the next check."""
@@ -136,6 +147,7 @@
                 pending,
                 peer=connection.peer_name,
                 own=connection is pending.own_connection,
+                evidence=self.callers.get(connection, CallerEvidence.NONE).name.lower(),
             )
         else:
             self.unsent[id_] = None
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -165,3 +165,21 @@
     assert side.is_open(caller) and not side.is_open(other)
     side.end(attempt)
     assert is_told(caller, attempt)
+
+
+def test_the_end_of_a_call_without_a_connection_is_told_to_a_caller_and_not_to_refused_peers():
+    """Guards against taking whoever sent the latest set-up for a caller that handles releases."""
+    side = CallersSide()
+    closed, caller, idle_caller = side.connect(), side.connect(), side.connect()
+    attempt = side.establish(closed)
+    acknowledged = side.establish(caller)
+    side.end(acknowledged)
+    acknowledge(caller, acknowledged)
+    side.establish(idle_caller)
+    refused = [side.connect_refused() for _ in range(5)]
+    closed.connectionLost()
+    side.end(attempt)
+    assert is_told(caller, attempt), "it has acknowledged a release"
+    side.world.wait(500)
+    assert is_told(idle_caller, attempt), "a call was established on it"
+    assert not any(is_told(peer, attempt) for peer in refused)
