Count only unanswered resends in a release's back-off: closed connections overflowed it

What callers would see: after 1,025 sends of one release no release of the process was ever sent again on another connection, for the rest of its life. Readiness checks and peers that connect and leave, over 128 connections a second while one release waits for a caller, get there within its 8 s; some 5 closed connections already put the next send past the 8 s.

Cause: each close of the connection that a release was last sent on sends it on the next one, and the back-off doubled for these sends too. 300.0 * (1 << 1024) raises OverflowError; _resend then ended before it scheduled the next check, while resend_scheduled stayed true. Found by reading the paths that tell an end; reproduced in the test: 'OverflowError: int too large to convert to float'.

Change: the back-off counts the sends that were due as nobody had acknowledged in time, of which 8 s have room for five.

--- a/leadslip/net/releases.py
+++ b/leadslip/net/releases.py
@@ -29,13 +29,14 @@
 class PendingRelease:
     """The release of an ended call until a caller has acknowledged it."""
 
-    __slots__ = ("ended_ms", "message", "own_connection", "connection", "sent_ms", "send_count")
+    __slots__ = ("ended_ms", "message", "own_connection", "connection", "resend_at_ms", "resends")
 
     def __init__(self, ended_ms: float, message: bytes, own_connection: InboundConnection | None) -> None:
         self.ended_ms, self.message = ended_ms, message
         self.own_connection = own_connection  # where the call was set up; None: unknown, or closed
         self.connection: InboundConnection | None = None  # where it was last sent; None: waits for one
-        self.sent_ms, self.send_count = 0.0, 0
+        self.resends = 0  # on other connections, as it was not acknowledged in time
+        self.resend_at_ms = ended_ms + RESEND_AFTER_MS
 
 
 class Releases:
@@ -123,13 +124,13 @@
             return
         now_ms = self.engine.clock.now_ms()
         for id_, pending in list(self.pending.items()):
-            if pending.connection is not None and now_ms - pending.sent_ms >= RESEND_AFTER_MS * (
-                1 << pending.send_count - 1
-            ):
-                other = self._fallback_connection(exclude=pending.connection)
-                if other is not None:
-                    self.inbound.metrics.add("clients.releases_retold")
-                    self._send(id_, other)
+            if pending.connection is None or now_ms < pending.resend_at_ms:
+                continue
+            other = self._fallback_connection(exclude=pending.connection)
+            if other is not None:
+                self.inbound.metrics.add("clients.releases_retold")
+                pending.resends += 1
+                self._send(id_, other)
         self.engine.deadlines.call_at(now_ms + RESEND_CHECK_INTERVAL_MS, self._resend)
 
     def _send(self, id_: str, connection: InboundConnection | None) -> None:
@@ -138,8 +139,7 @@
         sent = connection is not None and connection.send(pending.message)
         self._assign(pending, connection if sent else None)
         if sent:
-            pending.sent_ms = self.engine.clock.now_ms()
-            pending.send_count += 1
+            pending.resend_at_ms = self.engine.clock.now_ms() + RESEND_AFTER_MS * (1 << pending.resends)
             self.unsent.pop(id_, None)
             self._log(
                 "release.sent",
@@ -181,4 +181,4 @@
     def _log(self, event: str, id_: str, pending: PendingRelease, **fields: object) -> None:
         """Logs at level `debug` what becomes of a release."""
         after_ms = round(self.engine.clock.now_ms() - pending.ended_ms)
-        self.inbound.log(event, level="debug", id=id_, after_ms=after_ms, sends=pending.send_count, **fields)
+        self.inbound.log(event, level="debug", id=id_, after_ms=after_ms, resends=pending.resends, **fields)
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -183,3 +183,18 @@
     side.world.wait(500)
     assert is_told(idle_caller, attempt), "a call was established on it"
     assert not any(is_told(peer, attempt) for peer in refused)
+
+
+def test_a_release_is_resent_though_many_connections_that_it_was_sent_on_have_closed():
+    """Guards against a back-off that counts closed connections: it passed all bounds, and ended all resending."""
+    side = CallersSide()
+    closed = side.connect()
+    attempt = side.establish(closed)
+    closed.connectionLost()
+    side.end(attempt)
+    for _ in range(1500):
+        side.connect().connectionLost()
+    first, second = side.connect(), side.connect()
+    assert is_told(first, attempt)
+    side.world.wait(RELEASE_LIMIT_MS)
+    assert is_told(second, attempt)
