Resend a release on a connection that it was not sent on yet, while there is one

What callers would see: with no proven caller connected, as after a restart, an end that the two latest peers do not acknowledge is never told to a third one, though it is the caller.

Cause: a resend left out only the connection of the last send, so it alternated between the two best ones.

Change: a pending release knows the open connections that it was sent on, and these come again only when all had it.

--- a/leadslip/net/releases.py
+++ b/leadslip/net/releases.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Collection
 from enum import IntEnum
 
 from leadslip.core import Engine
@@ -29,12 +30,13 @@
 class PendingRelease:
     """The release of an ended call until a caller has acknowledged it."""
 
-    __slots__ = ("ended_ms", "message", "own_connection", "connection", "resend_at_ms", "resends")
+    __slots__ = ("ended_ms", "message", "own_connection", "connection", "sent_on", "resend_at_ms", "resends")
 
     def __init__(self, ended_ms: float, message: bytes, own_connection: InboundConnection | None) -> None:
         self.ended_ms, self.message = ended_ms, message
         self.own_connection = own_connection  # where the call was set up; None: unknown, or closed
         self.connection: InboundConnection | None = None  # where it was last sent; None: waits for one
+        self.sent_on: set[InboundConnection] = set()  # open connections that it was sent on
         self.resends = 0  # on other connections, as it was not acknowledged in time
         self.resend_at_ms = ended_ms + RESEND_AFTER_MS
 
@@ -65,8 +67,9 @@
         self.callers.pop(connection, None)
         self._expire()
         for id_, pending in list(self.pending.items()):
+            pending.sent_on.discard(connection)
             if pending.connection is connection:
-                self._send(id_, self._fallback_connection())
+                self._send(id_, self._next_connection(pending))
 
     def add_evidence(self, connection: InboundConnection, evidence: CallerEvidence) -> None:
         """Records that the peer of a connection has done what callers do."""
@@ -100,7 +103,7 @@
         if pending is not None:
             self._log("release.acknowledged", id_, pending, peer=connection.peer_name)
 
-    def _fallback_connection(self, exclude: InboundConnection | None = None) -> InboundConnection | None:
+    def _fallback_connection(self, exclude: Collection[InboundConnection] = ()) -> InboundConnection | None:
         """Returns a connection for a release that can't be sent, or got no answer, on the call's own connection.
 
         This is the one with the strongest evidence that its peer is a caller, the latest first; without any evidence,
@@ -109,13 +112,18 @@
         """
         found, found_evidence = None, CallerEvidence.NONE
         for connection, evidence in reversed(self.callers.items()):
-            if evidence > found_evidence and connection is not exclude:
+            if evidence > found_evidence and connection not in exclude:
                 found, found_evidence = connection, evidence
         if found is not None:
             return found
-        others = (connection for connection in reversed(self.inbound.open) if connection is not exclude)
+        others = (connection for connection in reversed(self.inbound.open) if connection not in exclude)
         return next(others, None)
 
+    def _next_connection(self, pending: PendingRelease) -> InboundConnection | None:
+        """Returns the connection to send a release on next: one that it was not sent on yet, if there is any."""
+        untried = self._fallback_connection(exclude=pending.sent_on)
+        return untried or self._fallback_connection(exclude=[pending.connection])
+
     def _resend(self, _: object = None) -> None:
         """Sends each release that was not acknowledged in time on another connection, and schedules the next check."""
         self._expire()
@@ -126,7 +134,7 @@
         for id_, pending in list(self.pending.items()):
             if pending.connection is None or now_ms < pending.resend_at_ms:
                 continue
-            other = self._fallback_connection(exclude=pending.connection)
+            other = self._next_connection(pending)
             if other is not None:
                 self.inbound.metrics.add("clients.releases_retold")
                 pending.resends += 1
@@ -140,6 +148,7 @@
         self._assign(pending, connection if sent else None)
         if sent:
             pending.resend_at_ms = self.engine.clock.now_ms() + RESEND_AFTER_MS * (1 << pending.resends)
+            pending.sent_on.add(connection)
             self.unsent.pop(id_, None)
             self._log(
                 "release.sent",
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -198,3 +198,15 @@
     assert is_told(first, attempt)
     side.world.wait(RELEASE_LIMIT_MS)
     assert is_told(second, attempt)
+
+
+def test_an_unacknowledged_release_is_sent_to_each_peer_before_it_is_sent_to_one_again():
+    """Guards against a release that alternates between the two latest peers while a third one is the caller."""
+    side = CallersSide()
+    closed = side.connect()
+    attempt = side.establish(closed)
+    peers = [side.connect_refused() for _ in range(4)]
+    closed.connectionLost()
+    side.end(attempt)
+    side.world.wait(2500)
+    assert all(is_told(peer, attempt) for peer in peers)
