Take an answer to a release only from a connection that the release was sent on

What callers would see: a peer that answers a release it was never sent ends the resending of that release, and counts as a caller that handles releases, so that it is told of further ends in the callers' place.

Cause: any response with a CSeq of BYE removed the release that its Call-ID names, and marked its connection.

Change: the response counts only where the release is pending and was sent on that connection.

--- a/leadslip/net/clients.py
+++ b/leadslip/net/clients.py
@@ -118,7 +118,6 @@
         """Handles a response to a release sent by this proxy; any status acknowledges the release."""
         if headers.get(b"cseq", b"").endswith(b"BYE"):
             self.downstream.releases.acknowledged(parse_call_id(headers), self)
-            self.downstream.releases.add_evidence(self, CallerEvidence.ACKNOWLEDGED)
             self.downstream.drain.connection_settled(self)
 
     def invite(self, number: bytes, headers: dict[bytes, bytes], body: memoryview) -> None:
--- a/leadslip/net/releases.py
+++ b/leadslip/net/releases.py
@@ -98,10 +98,13 @@
             self.engine.deadlines.call_at(now_ms + RESEND_CHECK_INTERVAL_MS, self._resend)
 
     def acknowledged(self, id_: str, connection: InboundConnection) -> None:
-        """Stops resending the release of a call, which was acknowledged on a connection."""
-        pending = self._forget(id_)
-        if pending is not None:
-            self._log("release.acknowledged", id_, pending, peer=connection.peer_name)
+        """Stops resending the release of a call, if it was sent on the connection on which it is acknowledged."""
+        pending = self.pending.get(id_)
+        if pending is None or connection not in pending.sent_on:
+            return
+        self.add_evidence(connection, CallerEvidence.ACKNOWLEDGED)
+        self._log("release.acknowledged", id_, pending, peer=connection.peer_name)
+        self._forget(id_)
 
     def _fallback_connection(self, exclude: Collection[InboundConnection] = ()) -> InboundConnection | None:
         """Returns a connection for a release that can't be sent, or got no answer, on the call's own connection.
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -210,3 +210,15 @@
     side.end(attempt)
     side.world.wait(2500)
     assert all(is_told(peer, attempt) for peer in peers)
+
+
+def test_an_answer_to_a_release_that_was_sent_to_others_is_no_acknowledgement():
+    """Guards against a peer that answers what it was never sent, and would then be told of the ends of calls."""
+    side = CallersSide()
+    caller, other = side.connect(), side.connect()
+    attempt = side.establish(caller)
+    side.end(attempt)
+    acknowledge(other, attempt)
+    assert side.clients.releases.is_pending(attempt.request.id)
+    acknowledge(caller, attempt)
+    assert not side.clients.releases.is_pending(attempt.request.id)
