Send a release on another open connection if the peer of the chosen one does not read

What callers would see: a caller that has not read for 2 s is disconnected when the end of its call is to be written. The release then waited for the next connection to be opened, for its 8 s, though other callers had connections open.

Cause: a failed write left the release without a connection, and only connection_opened sends such releases; neither the resend nor the close of the aborted connection looks at them.

Change: after a failed write the release goes on the next best connection at once, and waits only if none is left.

Measured: the new test fails without the change and passes with it; tests of links and releases pass.

--- a/leadslip/net/releases.py
+++ b/leadslip/net/releases.py
@@ -30,13 +30,15 @@
 class PendingRelease:
     """The release of an ended call until a caller has acknowledged it."""
 
-    __slots__ = ("ended_ms", "message", "own_connection", "connection", "sent_on", "resend_at_ms", "resends")
+    __slots__ = ("ended_ms", "message", "own_connection", "connection", "tried", "resend_at_ms", "resends")
 
     def __init__(self, ended_ms: float, message: bytes, own_connection: InboundConnection | None) -> None:
         self.ended_ms, self.message = ended_ms, message
         self.own_connection = own_connection  # where the call was set up; None: unknown, or closed
         self.connection: InboundConnection | None = None  # where it was last sent; None: waits for one
-        self.sent_on: set[InboundConnection] = set()  # open connections that it was sent on
+        self.tried: set[InboundConnection] = (
+            set()
+        )  # open connections that it was sent on, or that were not read
         self.resends = 0  # on other connections, as it was not acknowledged in time
         self.resend_at_ms = ended_ms + RESEND_AFTER_MS
 
@@ -67,7 +69,7 @@
         self.callers.pop(connection, None)
         self._expire()
         for id_, pending in list(self.pending.items()):
-            pending.sent_on.discard(connection)
+            pending.tried.discard(connection)
             if pending.connection is connection:
                 self._send(id_, self._next_connection(pending))
 
@@ -100,7 +102,7 @@
     def acknowledged(self, id_: str, connection: InboundConnection) -> None:
         """Stops resending the release of a call, if it was sent on the connection on which it is acknowledged."""
         pending = self.pending.get(id_)
-        if pending is None or connection not in pending.sent_on:
+        if pending is None or connection not in pending.tried:
             return
         self.add_evidence(connection, CallerEvidence.ACKNOWLEDGED)
         self._log("release.acknowledged", id_, pending, peer=connection.peer_name)
@@ -124,7 +126,7 @@
 
     def _next_connection(self, pending: PendingRelease) -> InboundConnection | None:
         """Returns the connection to send a release on next: one that it was not sent on yet, if there is any."""
-        untried = self._fallback_connection(exclude=pending.sent_on)
+        untried = self._fallback_connection(exclude=pending.tried)
         return untried or self._fallback_connection(exclude=[pending.connection])
 
     def _resend(self, _: object = None) -> None:
@@ -145,13 +147,16 @@
         self.engine.deadlines.call_at(now_ms + RESEND_CHECK_INTERVAL_MS, self._resend)
 
     def _send(self, id_: str, connection: InboundConnection | None) -> None:
-        """Sends a pending release, or lets it wait for the next connection if there is none or it is stalled."""
+        """Sends a pending release, or lets it wait for the next connection opened if none is read by its peer."""
         pending = self.pending[id_]
-        sent = connection is not None and connection.send(pending.message)
-        self._assign(pending, connection if sent else None)
-        if sent:
+        while connection is not None:
+            pending.tried.add(connection)
+            if connection.send(pending.message):
+                break
+            connection = self._fallback_connection(exclude=pending.tried)
+        self._assign(pending, connection)
+        if connection is not None:
             pending.resend_at_ms = self.engine.clock.now_ms() + RESEND_AFTER_MS * (1 << pending.resends)
-            pending.sent_on.add(connection)
             self.unsent.pop(id_, None)
             self._log(
                 "release.sent",
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -7,7 +7,7 @@
 
 from leadslip import interface
 from leadslip.net.clients import Clients
-from leadslip.net.connections import FIRST_MESSAGE_TIMEOUT_MS, IDLE_TIMEOUT_MS
+from leadslip.net.connections import FIRST_MESSAGE_TIMEOUT_MS, IDLE_TIMEOUT_MS, WRITE_STALL_TIMEOUT_MS
 from leadslip.readiness import Readiness
 from tests.standins import Caller, Program, SetupServer
 from tests.test_core import EngineFixture
@@ -222,3 +222,16 @@
     assert side.clients.releases.is_pending(attempt.request.id)
     acknowledge(caller, attempt)
     assert not side.clients.releases.is_pending(attempt.request.id)
+
+
+def test_an_end_is_told_on_another_connection_if_the_calls_own_one_is_not_read():
+    """Guards against leaving the release to the next connection opened, though others are open."""
+    side = CallersSide()
+    unread, caller = side.connect(), side.connect()
+    attempt = side.establish(unread)
+    side.establish(caller)
+    unread.pauseProducing()
+    side.world.wait(WRITE_STALL_TIMEOUT_MS + 1)
+    side.end(attempt)
+    assert unread.transport.disconnecting, "it is closed, so that its write buffer stays bounded"
+    assert is_told(caller, attempt)
