Tell a caller that has just proven itself of the ends that only other peers were told

What callers would see: after a restart among peers that ask once and stay, the ends of calls from before it are written to these at 0, 0.3, 0.9, 2.1 and 4.5 s. A caller whose first call is established after that is not told in the 8 s.

Cause: resends go by their back-off alone, whatever is learned of the connections meanwhile.

Change: the first established call or acknowledged release on a connection sends on it what no such connection was sent. Releases on their way to a proven caller are left alone, so that calls which end normally are told once.

Measured: the new test (three refused peers, a caller after 6 s) fails without the change and passes with it; tests of links and releases pass (59).

--- a/leadslip/net/clients.py
+++ b/leadslip/net/clients.py
@@ -316,9 +316,9 @@
     def on_established(self, request: Request, payload: object) -> None:
         connection = request.context[0]
         connection.calls.add(request.id)
-        self.releases.add_evidence(connection, CallerEvidence.ESTABLISHED)
         length_header = b"Content-Length: %d\r\n\r\n" % len(payload)
         self._answer(request, b"SIP/2.0 200 OK\r\n", length_header, payload)
+        self.releases.add_evidence(connection, CallerEvidence.ESTABLISHED)
 
     def on_refused(self, request: Request, retry_after_ms: float) -> None:
         back_off = b"P-Back-Off: %d\r\n" % int(retry_after_ms) if retry_after_ms >= 1 else b""
--- a/leadslip/net/releases.py
+++ b/leadslip/net/releases.py
@@ -74,10 +74,24 @@
                 self._send(id_, self._next_connection(pending))
 
     def add_evidence(self, connection: InboundConnection, evidence: CallerEvidence) -> None:
-        """Records that the peer of a connection has done what callers do."""
-        if connection in self.inbound.open:
-            self.callers[connection] = max(evidence, self.callers.get(connection, CallerEvidence.NONE))
-            self.callers.move_to_end(connection)
+        """Records that the peer of a connection has done what callers do.
+
+        Once that proves it a caller, it is told of the ends that no proven caller has been told yet.
+        """
+        if connection not in self.inbound.open:
+            return
+        was_proven = self._is_proven(connection)
+        self.callers[connection] = max(evidence, self.callers.get(connection, CallerEvidence.NONE))
+        self.callers.move_to_end(connection)
+        if was_proven or not self._is_proven(connection):
+            return
+        for id_, pending in list(self.pending.items()):
+            if not any(map(self._is_proven, pending.tried)):
+                self._send(id_, connection)
+
+    def _is_proven(self, connection: InboundConnection) -> bool:
+        """Returns whether the peer of a connection has shown to be a caller by more than a set-up."""
+        return self.callers.get(connection, CallerEvidence.NONE) >= CallerEvidence.ESTABLISHED
 
     def release(self, id_: str, cut: bool, connection: InboundConnection | None = None) -> None:
         """Sends the release of an ended call to its caller, and resends it until it is acknowledged or expires.
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -235,3 +235,18 @@
     side.end(attempt)
     assert unread.transport.disconnecting, "it is closed, so that its write buffer stays bounded"
     assert is_told(caller, attempt)
+
+
+def test_an_end_told_only_to_unproven_peers_is_told_to_the_next_proven_caller():
+    """Guards against a back-off that ends, after 4.5 of 8 s, before a caller has set up a call: at a restart."""
+    side = CallersSide()
+    peers = [side.connect_refused() for _ in range(3)]
+    side.clients.releases.release(f"{0xABC:016x}", cut=False)
+    side.world.wait(6000)
+    caller = side.connect()
+    side.establish(caller)
+    release = b"BYE sip:caller@net SIP/2.0\r\nVia: SIP/2.0/TCP proxy\r\nCall-ID: %016x" % 0xABC
+    assert all(release in peer.transport.value() for peer in peers)
+    assert caller.transport.value().count(release) == 1
+    side.establish(caller)
+    assert caller.transport.value().count(release) == 1
