Drain: ask each connection for its calls, as the limit and the time-outs do

Need: the drain worked out which connections have calls from all established requests, at each check and each settled connection, while the connections know it themselves since the limit asks them.

Change: one answer for the three; the drain no longer needs the engine.

--- a/leadslip/net/clients.py
+++ b/leadslip/net/clients.py
@@ -262,7 +262,7 @@
             metrics, "clients", max_connections, engine.deadlines, overflow, engine.log
         )
         self.connections = self.inbound.open
-        self.drain = ConnectionDrain(self.inbound, engine, readiness)
+        self.drain = ConnectionDrain(self.inbound, readiness)
         self.releases = Releases(engine, self.inbound)
         # Releases a call that this engine does not have, and calls back with whether its server was found.
         # None: calls are not replicated to other proxies.
--- a/leadslip/net/drain.py
+++ b/leadslip/net/drain.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-from leadslip.core import Engine
 from leadslip.net.connections import InboundConnection, InboundConnections
 from leadslip.readiness import Readiness
 
@@ -21,9 +20,9 @@
     refused, so that no further call is set up and each connection becomes free.
     """
 
-    def __init__(self, inbound: InboundConnections, engine: Engine, readiness: Readiness) -> None:
-        self.inbound, self.engine, self.readiness = inbound, engine, readiness
-        self.deadlines = engine.deadlines
+    def __init__(self, inbound: InboundConnections, readiness: Readiness) -> None:
+        self.inbound, self.readiness = inbound, readiness
+        self.deadlines = inbound.deadlines
         self.active = False  # whether the periodic check is scheduled
         self.settled: set[InboundConnection] = set()  # connections to check in the next turn
         self.next_log_ms = 0.0
@@ -66,18 +65,14 @@
         self.deadlines.call_at(now_ms + CHECK_INTERVAL_MS, self._check_all)
 
     def _close_free(self, candidates: list[InboundConnection]) -> None:
-        in_use = self._connections_with_calls()
         now_ms = self.deadlines.clock.now_ms()
         for connection in candidates:
-            if connection in in_use and not connection.close_despite_calls:
+            if connection.established_calls() and not connection.close_despite_calls:
                 continue
             if connection in self.inbound.open and self._is_free(connection, now_ms):
                 self.inbound.metrics.add("clients.sent_away")
                 self.inbound.close(connection, "drained")
 
-    def _connections_with_calls(self) -> set[InboundConnection]:
-        return {request.context[0] for request in self.engine.established_requests.values()}
-
     def _is_free(self, connection: InboundConnection, now_ms: float) -> bool:
         """Returns whether nothing is pending on a connection, after processing what has arrived on it."""
         connection.read_pending()
@@ -92,13 +87,12 @@
         """Logs why connections are still open."""
         since_ms = self.readiness.draining_since_ms()
         connections = self.inbound.open
-        with_calls = self._connections_with_calls()
         self.inbound.log(
             "drain.progress",
             after_ms=round(now_ms - since_ms),
             connections=len(connections),
             with_open_set_ups=sum(connection.awaits_answer() for connection in connections),
-            with_calls=sum(connection in with_calls for connection in connections),
+            with_calls=sum(bool(connection.established_calls()) for connection in connections),
             with_partial_message=sum(bool(connection.partial_since_ms) for connection in connections),
             with_unsent_data=len(self.inbound.closing),
         )
