--- a/leadslip/config.py
+++ b/leadslip/config.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
-from leadslip import interface
+from leadslip import interface, revision
 from leadslip.errors import OperatorError
 
 Fields = dict[str, str]  # flat settings: dotted key -> value as text
@@ -248,6 +248,12 @@
     "left": interface.ServerState.GONE,
 }
 
+PER_CLASS_LISTS = (  # keys of `settings.extra` whose lists have one entry for each class, in the order of `services`
+    "allowed_pools",
+    "channels_needed",
+    "mean_hold_ms",
+)
+
 POSITIVE_KEYS = (  # keys of the settings whose values must be above 0
     "balancers",
     "limits.most_tries",
@@ -283,8 +289,7 @@
     settings: interface.Settings
     connect_timeout_ms: float  # time-out for connecting to a setup server or the notice board
     max_open_requests: int  # maximum number of open requests; further ones are refused
-    keys: frozenset[str] = frozenset()  # the keys written in the file, except those of `known` and of classes
-    class_keys: tuple[frozenset[str], ...] = ()  # the keys written for each class in the file
+    document: Mapping = dataclasses.field(default_factory=dict)  # the file as it was written
 
 
 def flatten(value: object, path: str = "") -> Fields:
@@ -364,6 +369,25 @@
     return Notice(rev, interface.ServerListUpdate(update_kind, tuple(entries)), addresses)
 
 
+def check_per_class_lists(settings: Mapping) -> None:
+    """Raises MalformedError if a list of the settings has no entry for a class, an empty one, or one too many."""
+    class_names = [service.get("name") for service in settings["services"]]
+    extra = settings.get("extra")
+    for key in PER_CLASS_LISTS:
+        entries = extra.get(key) if isinstance(extra, Mapping) else None
+        if entries is None:
+            continue
+        if not isinstance(entries, list):
+            raise MalformedError(f"extra.{key} must be a list with one entry for each class")
+        for i, name in enumerate(class_names):
+            if i >= len(entries) or entries[i] in (None, "", []):
+                raise MissingError(f"extra.{key}.{i} is missing: it is the entry of class {name}")
+        if len(entries) > len(class_names):
+            raise MalformedError(
+                f"extra.{key} has {len(entries)} entries for {len(class_names)} classes; remove those of no class"
+            )
+
+
 def parse_config(document: object) -> Config:
     """Parses and validates the configuration of a signalling proxy. Raises MalformedError."""
     if not isinstance(document, Mapping):
@@ -374,6 +398,7 @@
         settings = parse_settings(flat)
         if integer(flat, "services.count") < 1:
             raise MalformedError("services is empty: a list of at least one call class is required")
+        check_per_class_lists(document["settings"])
         for key in POSITIVE_KEYS + tuple(f"services.{i}.deadline_ms" for i in range(len(settings.classes))):
             if key in flat and not number(flat, key) > 0:
                 raise BoundsError(f"{key} must be above 0: {flat[key]}")
@@ -468,29 +493,11 @@
     document = read_json(path, "NODE_CONFIG")
     if not isinstance(document, dict):
         return parse_config(document)
-    keys, class_keys = written_keys(document)
+    written = dict(document)
     for key, variable in (("name", "NODE_NAME"), ("listen", "NODE_LISTEN"), ("ops", "NODE_OPS")):
         if variable in environ:
             document.setdefault(key, environ[variable])
-    return dataclasses.replace(parse_config(document), keys=keys, class_keys=class_keys)
-
-
-PER_CLASS_PREFIXES = (
-    "settings.services.",
-    "settings.extra.allowed_pools.",
-)  # of the keys that each class has
-
-
-def written_keys(document: Mapping) -> tuple[frozenset[str], tuple[frozenset[str], ...]]:
-    """The keys written in a file, except those of `known` and of classes; and the keys written for each class."""
-    flat = flatten({key: value for key, value in document.items() if key != "known"})
-    keys = frozenset(key for key in flat if not key.startswith(PER_CLASS_PREFIXES))
-    settings = document.get("settings")
-    services = settings.get("services") if isinstance(settings, Mapping) else None
-    listed = services if isinstance(services, list) else ()
-    return keys, tuple(
-        frozenset(flatten(service)) if isinstance(service, Mapping) else frozenset() for service in listed
-    )
+    return dataclasses.replace(parse_config(document), document=written)
 
 
 def reload(running: Config, environ: Mapping[str, str] = os.environ) -> Config:
@@ -501,17 +508,18 @@
             raise FixedError(
                 f"{key} can't change without a restart: {getattr(conf, key)!r} instead of {getattr(running, key)!r}"
             )
-    # Otherwise a file that lost keys in transfer would silently replace running settings by their defaults.
-    missing = sorted(running.keys - conf.keys)
-    if missing:
+    missing = revision.find_missing(running.document, conf.document)
+    if missing is not None:
         raise MissingError(
-            f"{missing[0]} is missing: a new revision must contain every key of the running file"
+            f"{missing} is missing{_class_suffix(conf.document, missing)}: "
+            "a new revision must contain every key of the running file"
         )
-    common_keys = frozenset.intersection(*running.class_keys) if running.class_keys else frozenset()
-    for i, keys in enumerate(conf.class_keys):
-        missing_keys = sorted(common_keys - keys)
-        if missing_keys:
-            raise MissingError(
-                f"settings.services.{i}.{missing_keys[0]} is missing: every class of the running file has it"
-            )
     return conf
+
+
+def _class_suffix(document: Mapping, path: str) -> str:
+    """The name of the class that a key belongs to, for an error message; empty if it belongs to none."""
+    parts = path.split(".")
+    if parts[:2] != ["settings", "services"] or len(parts) < 4:
+        return ""
+    return f" for class {document['settings']['services'][int(parts[2])].get('name')}"
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -35,10 +35,13 @@
 def settings(**changes: object) -> dict:
     """Returns the settings of a proxy, in the format of its configuration file; `changes` replace top-level keys."""
     service = {"gain": 1.0, "late_worth": 0.2, "aim_ms": 1500.0, "deadline_ms": 3000.0}
+    services = changes.get(
+        "services", [{"name": "plain"} | service, {"name": "urgent"} | service | {"gain": 3.0}]
+    )
     defaults = {
         "balancers": 2,
         "index": 0,
-        "services": [{"name": "plain"} | service, {"name": "urgent"} | service | {"gain": 3.0}],
+        "services": services,
         "limits": {"most_tries": 4, "cancel": True, "retry_after": True, "max_retry_after_ms": 2000.0},
         "obligations": {
             "cold_from": 0.3,
@@ -46,7 +49,7 @@
             "tip_multiple": 2.5,
             "tip_after_ms": 1500.0,
         },
-        "extra": {"guard_ms": 100.0, "allowed_pools": [[0, 1], [0, 1]]},
+        "extra": {"guard_ms": 100.0, "allowed_pools": [[0, 1] for _ in services]},
         "tick_ms": 5.0,
         "load_report": {"fields": ["idle", "circuits"]},
     }
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -171,6 +171,7 @@
         ({"board": "nowhere"}, "board is no address:port"),
         ({"listen": f"{HOST}:1"}, "listen can't change"),
         ({"settings": settings(services=[])}, "settings.services is empty"),
+        ({"settings": settings(extra={"guard_ms": 100.0})}, "settings.extra.allowed_pools is missing"),
     ],
 )
 def test_an_invalid_reload_changes_nothing_and_names_its_key(start, changes, key):
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -5,6 +5,8 @@
 
 import time
 
+import pytest
+
 from leadslip import interface
 from leadslip.net.clients import Clients
 from leadslip.net.connections import FIRST_MESSAGE_TIMEOUT_MS, IDLE_TIMEOUT_MS, WRITE_STALL_TIMEOUT_MS
@@ -119,10 +121,21 @@
     assert not side.is_open(caller), "no call is left on it"
 
 
-def test_a_caller_is_told_of_its_calls_end_while_refused_peers_fill_the_connections(tmp_path):
-    """Guards against the same in the running program: peers that ask once and stay crowd out a standing call."""
-    server = SetupServer("hold")
+@pytest.fixture
+def server():
+    return SetupServer("hold")
+
+
+@pytest.fixture
+def program(tmp_path, server):
+    """The proxy with one server and few descriptors; stopped after the test, also after one that failed."""
     program = Program(tmp_path, {"s0": server.address}, limits={"sockets": 96})
+    yield program
+    assert program.stop() == 0
+
+
+def test_a_caller_is_told_of_its_calls_end_while_refused_peers_fill_the_connections(program, server):
+    """Guards against the same in the running program: peers that ask once and stay crowd out a standing call."""
     caller = Caller(program)
     caller.invite(f"{1:016x}")
     assert caller.receive()[0] == "SIP/2.0 200 OK"
@@ -135,7 +148,7 @@
     server.release_all()
     assert caller.receive()[0].startswith("BYE ")
     assert time.monotonic() - ended_at < RELEASE_LIMIT_MS / 1000.0
-    assert program.stop() == 0
+    program.stop()
     assert program.counts()["clients.over_limit"] > 20
 
 
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -8,6 +8,9 @@
 import json
 
 import pytest
+from hypothesis import HealthCheck, given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
 
 from leadslip import config, interface
 from leadslip.controller import _Call
@@ -120,8 +123,100 @@
 def test_a_new_class_must_have_every_key_of_the_running_classes(tmp_path, running):
     incomplete = {"name": "fresh", "gain": 2.0, "aim_ms": 500.0, "deadline_ms": 2000.0}
     services = [*CONFIGURATION["settings"]["services"], incomplete]
+    extra = CONFIGURATION["settings"]["extra"] | {"allowed_pools": [[0], [0], [0]]}
     with pytest.raises(config.MalformedError, match="settings.services.2.late_worth is missing"):
-        reload(tmp_path, json.dumps(changed(services=services)), running)
+        reload(tmp_path, json.dumps(changed(services=services, extra=extra)), running)
+
+
+def test_a_class_must_keep_the_keys_that_other_classes_do_not_have(tmp_path, running):
+    """Guards against the default of a key, such as calls that may be repeated, for a class that had another value."""
+    services = copy.deepcopy(CONFIGURATION["settings"]["services"])
+    services[1]["idempotency"] = "fragile"
+    running = reload(tmp_path, json.dumps(changed(services=services)), running)
+    with pytest.raises(
+        config.MissingError, match="settings.services.1.idempotency is missing for class urgent"
+    ):
+        reload(tmp_path, json.dumps(CONFIGURATION), running)
+
+
+@pytest.mark.parametrize("key", ["allowed_pools", "channels_needed", "mean_hold_ms"])
+@pytest.mark.parametrize("at_start", [True, False])
+def test_a_list_of_the_classes_must_have_one_entry_for_each(tmp_path, running, key, at_start):
+    """Guards against a class without an entry, for which every server was allowed (review/3)."""
+    entries = {"allowed_pools": [[0, 1], [0]], "channels_needed": [1, 2], "mean_hold_ms": [900.0, 700.0]}
+    complete = changed(extra=CONFIGURATION["settings"]["extra"] | entries)
+    running = reload(tmp_path, json.dumps(complete), running)
+
+    def read(changed_entries):
+        document = copy.deepcopy(complete)
+        document["settings"]["extra"][key] = changed_entries
+        if at_start:
+            return config.parse_config(document)
+        return reload(tmp_path, json.dumps(document), running)
+
+    read(list(reversed(entries[key])))
+    for incomplete in (entries[key][:1], [entries[key][0], None], [entries[key][0], []], [], {}):
+        with pytest.raises(
+            config.MalformedError, match=rf"settings.extra.{key}\b.*(class urgent|for each|of class plain)"
+        ):
+            read(incomplete)
+    with pytest.raises(config.MalformedError, match=f"settings.extra.{key} has 3 entries for 2 classes"):
+        read([*entries[key], entries[key][0]])
+
+
+def key_paths(document: object, path: tuple = ()) -> list[tuple]:
+    """Return the paths of all keys of a JSON document, such as ("settings", "services", 0, "gain")."""
+    if isinstance(document, dict):
+        return [
+            found
+            for key, value in document.items()
+            for found in ((*path, key), *key_paths(value, (*path, key)))
+        ]
+    if isinstance(document, list):
+        return [found for i, value in enumerate(document) for found in key_paths(value, (*path, i))]
+    return []
+
+
+@st.composite
+def configurations(draw) -> dict:
+    """A complete configuration of one to four classes and servers, with keys that only some sites have."""
+    configuration = copy.deepcopy(CONFIGURATION)
+    names = draw(st.lists(st.sampled_from("abcdef"), min_size=1, max_size=4, unique=True))
+    more_keys = draw(st.sets(st.sampled_from(("idempotency", "key_scope", "window_ms", "stream"))))
+    values = {"idempotency": "retryable", "key_scope": "all", "window_ms": 5000.0, "stream": True}
+    plain = configuration["settings"]["services"][0] | {key: values[key] for key in more_keys}
+    configuration["settings"]["services"] = [plain | {"name": name} for name in names]
+    lists = {"allowed_pools": [0, 1], "channels_needed": 1, "mean_hold_ms": 9000.0}
+    for key in draw(st.sets(st.sampled_from(sorted(lists)))) | {"allowed_pools"}:
+        configuration["settings"]["extra"][key] = [lists[key] for _ in names]
+    servers = [(f"s{i}", f"127.0.0.1:{9 + i}", "active") for i in range(draw(st.integers(1, 4)))]
+    configuration["known"]["notices"] = [notice(1, *servers, snapshot=True)]
+    return configuration
+
+
+@hypothesis_settings(
+    derandomize=True,
+    max_examples=40,
+    deadline=None,
+    suppress_health_check=[HealthCheck.function_scoped_fixture],
+)
+@given(configuration=configurations())
+def test_a_file_that_lacks_any_key_of_the_running_one_is_rejected_with_the_key(
+    tmp_path, running, configuration
+):
+    """Guards against keys that a new revision may leave out: those of classes, of lists, of the known servers."""
+    running = reload(tmp_path, json.dumps(configuration), running)
+    assert reload(tmp_path, json.dumps(configuration), running).settings == running.settings
+    for *parents, last in key_paths(configuration):
+        incomplete = copy.deepcopy(configuration)
+        node = incomplete
+        for key in parents:
+            node = node[key]
+        del node[last]
+        path = ".".join(map(str, (*parents, last)))
+        with pytest.raises(config.MalformedError) as caught:
+            reload(tmp_path, json.dumps(incomplete), running)
+        assert path in str(caught.value), f"{path}: {caught.value}"
 
 
 def test_an_open_request_keeps_its_attempt_limit_when_a_reload_lowers_it_for_new_ones():
