--- a/leadslip/fleet/agreement/member.py
+++ b/leadslip/fleet/agreement/member.py
@@ -287,7 +287,7 @@
         self.fallback_rules = Rules.fallback(isolated)
         self.fetch: Fetch | None = None
         self.pending: dict[str, PendingProposal] = {}  # by change id
-        # Used by voters only. Voter id, start counter, whether its snapshot has no list of voters yet, why it stopped:
+        # Used by voters only. Voter id, start counter, whether its disk is new, why it stopped:
         self.id, self.starts, self.blank, self.stop_reason = "", 0, True, ""
         self.persistent_state: PersistentState | None = None  # None: this member is no voter
         self.raft: Raft | None = None  # None: not voting (yet, or because it has stopped)
@@ -305,7 +305,7 @@
     def make_voter(self, id_: str, starts: int, persistent_state: PersistentState) -> None:
         """Makes this member a voter, with the id, start counter and state loaded from its disk."""
         self.id, self.starts, self.persistent_state = id_, starts, persistent_state
-        self.blank = not persistent_state.snapshot.voters
+        self.blank = persistent_state.is_blank()
 
     def metadata(self) -> dict[str, str | int]:
         """Returns the metadata by which other members recognize this voter; empty at a learner."""
--- a/leadslip/fleet/agreement/raft.py
+++ b/leadslip/fleet/agreement/raft.py
@@ -170,6 +170,10 @@
     snapshot: Snapshot
     entries: list[Entry]
 
+    def is_blank(self) -> bool:
+        """Returns whether it is that of a new disk: without a list of voters, a term, a vote or an entry."""
+        return not (self.snapshot.voters or self.snapshot.index or self.term or self.vote or self.entries)
+
 
 class Follower:
     """A leader's record of another voter."""
--- a/tests/test_fleet_agreed.py
+++ b/tests/test_fleet_agreed.py
@@ -8,7 +8,7 @@
 import pytest
 
 from leadslip.fleet.agreement.documents import RefusedError
-from leadslip.fleet.agreement.member import ConflictError, NoAgreementError
+from leadslip.fleet.agreement.member import ConflictError, NoAgreementError, Propose
 from leadslip.lab.agreed import SimulatedAgreement
 
 
@@ -112,8 +112,6 @@
     lab.fleet.run(4000.0)
     assert host.agreement.raft is None, "a voter that is not in the list does not vote"
     new_id = lab.disks[name][0]
-    from leadslip.fleet.agreement.member import Propose
-
     results = []
     other_ids = [id_ for id_, _, _ in lab.disks.values() if id_ != new_id]
     for i, ids in enumerate(([*other_ids, old_id, new_id], [*other_ids, new_id])):
@@ -127,6 +125,59 @@
     change_and_converge(lab, "p04", "bars", {"prefixes": ["93"]}, "after")
 
 
+def replace_disk(lab, name):
+    """Replaces a voter's disk as operators do: starts it with a blank one, adds its new id, removes the old one."""
+    old_id = lab.disks[name][0]
+    lab.fleet.kill(name)
+    lab.fleet.run(8000.0)
+    lab.start(name, blank=True)
+    lab.fleet.run(4000.0)
+    new_ids = sorted(id_ for id_, _, _ in lab.disks.values())
+    proposer = lab.fleet.hosts["p05"]
+    for number, ids in enumerate((sorted([*new_ids, old_id]), new_ids)):
+        message = Propose(f"voters {name} {number}", None, ids)
+        proposer.agreement.propose(proposer.now_ms, message, 8000.0, lambda result: None)
+        proposer.flush()
+        lab.fleet.run(6000.0)
+
+
+def restart(lab, names):
+    """Kills members and starts them again with their disks."""
+    for name in names:
+        lab.fleet.kill(name)
+    lab.fleet.run(1000.0)
+    for name in names:
+        lab.start(name)
+
+
+def test_voters_whose_disks_were_replaced_keep_what_was_agreed_when_all_restart():
+    """Guards against taking a voter that was added later for one with a blank disk: it forgot all, and founded anew."""
+    lab = bootstrapped(10)
+    for name in lab.voters:
+        replace_disk(lab, name)
+    change_and_converge(lab, "p05", "bars", {"prefixes": ["94"]}, "before")
+    restart(lab, lab.voters)
+    assert_converged(lab)
+    assert lab.fleet.metrics.counts["agreement.founded"] == 3 + 3, "each disk is initialized once"
+    change_and_converge(lab, "p05", "bars", {"prefixes": ["95"]}, "after")
+
+
+def test_a_voter_that_was_added_later_keeps_its_term_and_log_when_it_restarts():
+    """Guards against a second vote in a term: the first one was forgotten with the log."""
+    lab = bootstrapped(11)
+    name = next(name for name in lab.voters if name != lab.leader_name())
+    replace_disk(lab, name)
+    change_and_converge(lab, "p05", "bars", {"prefixes": ["96"]}, "before")
+    stored = lab.disks[name][2].stored
+    assert not stored.snapshot.voters and stored.entries and stored.term
+    lab.fleet.kill(name)
+    raft = lab.start(name).agreement.raft
+    lab.fleet.run(2000.0)
+    raft = raft or lab.fleet.hosts[name].agreement.raft
+    assert raft.term >= stored.term and raft.entries[: len(stored.entries)] == stored.entries
+    assert not lab.fleet.hosts[name].agreement.blank
+
+
 def test_a_restored_old_copy_of_a_disk_stops_its_voter_with_an_error():
     lab = bootstrapped(7)
     name = next(name for name in lab.voters if name != lab.leader_name())
