Soak: peers that ask once and stay beside quiet callers; ends judged for any caller

Their callers never paused, nobody stayed after a refusal, and an end was judged only if the call's own connection was open throughout, which excused closing it.

Change: in half of the plans, drawn apart so that all others keep what they had, 120 peers a second ask one proxy once for a class that does not exist and stay, and 10 callers a second set up one call each and then send nothing. An end is due on time where any caller's connection to that proxy was open throughout, which is stricter than before. A peer that is no caller must be refused or closed in 3 s, and never be served.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -22,7 +22,15 @@
 from random import Random
 
 from leadslip.drill.run import reserve_network
-from tests.soak_peers import Board, Caller, CallerConnection, RequestRecord, SetUpRecord, SetupServer
+from tests.soak_peers import (
+    Board,
+    Caller,
+    CallerConnection,
+    RefusedPeer,
+    RequestRecord,
+    SetUpRecord,
+    SetupServer,
+)
 from tests.standins import ROOT, notice, settings
 
 DURATION_S = 16.0
@@ -41,6 +49,8 @@
 )
 MAX_PRINTED = 6  # findings of one trial
 SIP_PORT, OPS_PORT = 5060, 9090
+REFUSED_PEERS_PER_S, QUIET_CALLERS_PER_S = 120.0, 10.0
+REFUSED_PEER_LIMIT_S = 3.0  # for a peer that is no caller to be refused, after it has connected
 
 
 @dataclass(frozen=True)
@@ -87,6 +97,12 @@
     if slow.random() < 0.5:
         lasts_s = slow.uniform(4.0, 7.0)
         troubles.append(Trouble("board slow", slow.uniform(0.5, 6.0), lasts_s, slow.randrange(proxies)))
+    refused = Random(f"refused peers {seed}")
+    if refused.random() < 0.5:
+        lasts_s = refused.uniform(5.0, 8.0)
+        troubles.append(
+            Trouble("refused peers", refused.uniform(0.5, 4.0), lasts_s, refused.randrange(proxies))
+        )
     return Plan(
         seed,
         proxies,
@@ -157,6 +173,7 @@
         self.states: dict[str, str] = {}  # of each server uid, as published last
         self.uid_of_server = [f"s{i}" for i in range(SERVERS)]
         self.late_s: list[float] = []
+        self.refused_peers: list[RefusedPeer] = []
 
     def found(self, rule: str, proxy: str, detail: str, at_s: float | None = None) -> None:
         self.findings.append(Finding(rule, round(at_s or time.monotonic() - self.start_s, 3), proxy, detail))
@@ -276,7 +293,11 @@
         own: list[CallerConnection] = []
         while True:
             proxy.ready = await self.ask(proxy, "GET", "ready")
-            own = [connection for connection in self.caller.connections if connection.proxy == proxy.name]
+            own = [
+                connection
+                for connection in self.caller.connections
+                if connection.proxy == proxy.name and not connection.is_quiet
+            ]
             if proxy.ready and len(own) < self.plan.connections:
                 await self.caller.connect(proxy.name, (proxy.ip, SIP_PORT))
             await asyncio.sleep(0.1)
@@ -295,6 +316,11 @@
         until_s = time.monotonic() + trouble.lasts_s
         if trouble.kind in ("hang", "replace", "reset"):
             await self.play_server_trouble(trouble, until_s)
+        elif trouble.kind == "refused peers":
+            proxy = self.proxies[trouble.target]
+            await asyncio.gather(
+                self.open_refused_peers(proxy, until_s), self.open_quiet_callers(proxy, until_s)
+            )
         elif trouble.kind == "crowd":
             self.caller.rate *= 4.0
             await asyncio.sleep(trouble.lasts_s)
@@ -302,6 +328,22 @@
         else:
             await self.play_proxy_trouble(trouble, self.proxies[trouble.target], until_s)
 
+    async def open_refused_peers(self, proxy: Proxy, until_s: float) -> None:
+        """Opens connections of peers that ask once for a class that does not exist, and stay connected."""
+        while time.monotonic() < until_s:
+            if proxy.ready:
+                peer = RefusedPeer(proxy.name, (proxy.ip, SIP_PORT), f"{self.rng.getrandbits(64):016x}")
+                self.refused_peers.append(peer)
+                self.caller.keep(peer.play())
+            await asyncio.sleep(1.0 / REFUSED_PEERS_PER_S)
+
+    async def open_quiet_callers(self, proxy: Proxy, until_s: float) -> None:
+        """Opens connections of callers that set up one call and then have nothing to send."""
+        while time.monotonic() < until_s:
+            if proxy.ready:
+                await self.caller.connect(proxy.name, (proxy.ip, SIP_PORT), is_quiet=True)
+            await asyncio.sleep(1.0 / QUIET_CALLERS_PER_S)
+
     async def play_server_trouble(self, trouble: Trouble, until_s: float) -> None:
         server = self.servers[trouble.target]
         if trouble.kind == "hang":
@@ -436,6 +478,8 @@
             self.judge_set_ups(set_ups)
         for proxy in self.proxies:
             self.judge_news(proxy)
+        for peer in self.refused_peers:
+            self.judge_refused_peer(peer)
 
     def judge_request(self, request: RequestRecord) -> None:
         at_s, limit_s = request.sent_s - self.start_s, request.expires_s + SLACK_S + LATE_ANSWER_S
@@ -470,21 +514,32 @@
         self.judge_release(set_ups[-1], request)
 
     def judge_release(self, set_up: SetUpRecord, request: RequestRecord) -> None:
-        """A release that its server wrote is due at the caller in time, if a connection was open for it."""
+        """A release that its server wrote is due in time, if a connection of any caller was open for it."""
         limit_s = set_up.released_s + RELEASE_LIMIT_S + SLACK_S
         proxy = next(proxy for proxy in self.proxies if proxy.name == set_up.proxy)
         was_answered = any(status == 200 for _, status in request.answers)
         if not set_up.is_release_written or not was_answered or limit_s > self.end_s or request.cancelled_s:
             return
         connected = any(
-            connection.proxy == set_up.proxy
-            and connection.call_is_open_throughout(set_up.call, set_up.released_s, limit_s)
+            connection.proxy == set_up.proxy and connection.is_open_throughout(set_up.released_s, limit_s)
             for connection in self.caller.all_connections
         )
         is_late = not request.released_s or min(request.released_s) > limit_s
         if is_late and connected and proxy.up_throughout(set_up.released_s, limit_s):
             self.found("release", set_up.proxy, set_up.call, set_up.released_s - self.start_s)
 
+    def judge_refused_peer(self, peer: RefusedPeer) -> None:
+        """A peer that is no caller is refused or closed in time, and is not served."""
+        at_s, limit_s = peer.connected_s - self.start_s, peer.connected_s + REFUSED_PEER_LIMIT_S + SLACK_S
+        proxy = next(proxy for proxy in self.proxies if proxy.name == peer.proxy)
+        if peer.is_served:
+            self.found("refused peer", peer.proxy, f"{peer.call} was served", at_s)
+        if not peer.connected_s or limit_s > self.end_s:
+            return
+        is_late = not peer.answered_s or peer.answered_s > limit_s
+        if is_late and proxy.up_throughout(peer.connected_s, limit_s):
+            self.found("refused peer", peer.proxy, f"{peer.call} was not answered", at_s)
+
     def judge_server_state(self, set_up: SetUpRecord) -> None:
         """No set-up reaches a server later than its drain grace after the proxy was told."""
         proxy = next(proxy for proxy in self.proxies if proxy.name == set_up.proxy)
--- a/tests/soak_peers.py
+++ b/tests/soak_peers.py
@@ -11,6 +11,7 @@
 import re
 import struct
 import time
+from collections.abc import Coroutine
 from dataclasses import dataclass, field
 from random import Random
 
@@ -195,21 +196,54 @@
             writer.transport.abort()
 
 
+class RefusedPeer:
+    """A peer that is no caller: asks once for a class that does not exist, reads, and stays until it is closed."""
+
+    def __init__(self, proxy: str, address: tuple[str, int], call: str) -> None:
+        self.proxy, self.address, self.call = proxy, address, call
+        self.connected_s = self.answered_s = 0.0
+        self.is_served = False
+
+    async def play(self) -> None:
+        with contextlib.suppress(OSError):
+            reader, writer = await asyncio.open_connection(*self.address)
+            self.connected_s = time.monotonic()
+            writer.write(
+                b"INVITE sip:0123@net SIP/2.0\r\nCall-ID: %s\r\nCSeq: 1 INVITE\r\n"
+                b"Priority-Class: no-such-class\r\nExpires-Ms: 3000\r\nContent-Length: 0\r\n\r\n"
+                % self.call.encode()
+            )
+            while data := await reader.read(4096):
+                self.answered_s = self.answered_s or time.monotonic()
+                self.is_served |= b"SIP/2.0 200 " in data
+            writer.close()
+        self.answered_s = self.answered_s or time.monotonic()
+
+
 class CallerConnection:
-    """One connection of a caller; it stays in use until the proxy closes it."""
+    """One connection of a caller: in use until the proxy closes it, or quiet after one call."""
 
     def __init__(
-        self, caller: Caller, proxy: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        caller: Caller,
+        proxy: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        is_quiet: bool,
     ) -> None:
-        self.caller, self.proxy, self.reader, self.writer = caller, proxy, reader, writer
+        self.caller, self.proxy, self.reader, self.writer, self.is_quiet = (
+            caller,
+            proxy,
+            reader,
+            writer,
+            is_quiet,
+        )
         self.open: dict[str, RequestRecord] = {}
         self.established: dict[str, RequestRecord] = {}
-        self.calls: set[str] = set()
         self.opened_s, self.closed_s = time.monotonic(), 0.0
 
     def send(self, record: RequestRecord) -> None:
         self.open[record.call] = record
-        self.calls.add(record.call)
         self.caller.records.setdefault(record.call, record)
         body = b"offer=%s" % self.proxy.encode()
         self.writer.write(
@@ -242,9 +276,9 @@
             return f"held with {', '.join(recent)}"
         return "" if self.open or self.established else "held idle"
 
-    def call_is_open_throughout(self, call: str, from_s: float, to_s: float) -> bool:
-        """Returns whether a call was set up on this connection, which stayed open for all of this time."""
-        return call in self.calls and (not self.closed_s or self.closed_s > to_s) and self.opened_s < from_s
+    def is_open_throughout(self, from_s: float, to_s: float) -> bool:
+        """Returns whether this connection was open for all of a time."""
+        return self.opened_s < from_s and (not self.closed_s or self.closed_s > to_s)
 
     async def read(self) -> None:
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
@@ -289,22 +323,27 @@
         self.all_connections: list[CallerConnection] = []
         self.tasks: set[asyncio.Task] = set()
 
-    async def connect(self, proxy: str, address: tuple[str, int]) -> None:
+    async def connect(self, proxy: str, address: tuple[str, int], is_quiet: bool = False) -> None:
         """Opens one connection; a proxy that refuses it is left alone until the next try."""
         with contextlib.suppress(OSError):
             reader, writer = await asyncio.open_connection(*address)
-            connection = CallerConnection(self, proxy, reader, writer)
+            connection = CallerConnection(self, proxy, reader, writer, is_quiet)
             self.connections.append(connection)
             self.all_connections.append(connection)
             self.place_call(connection)
-            self.tasks.add(asyncio.create_task(connection.read()))
+            self.keep(connection.read())
+
+    def keep(self, coroutine: Coroutine) -> None:
+        """Runs a coroutine as a task until it ends."""
+        self.tasks.add(asyncio.create_task(coroutine))
 
     async def run(self) -> None:
         """Sends requests on all connections at random intervals, until cancelled."""
         while True:
             await asyncio.sleep(self.rng.expovariate(self.rate))
-            if self.connections:
-                self.place_call(self.rng.choice(self.connections))
+            busy = [connection for connection in self.connections if not connection.is_quiet]
+            if busy:
+                self.place_call(self.rng.choice(busy))
 
     def place_call(self, connection: CallerConnection) -> None:
         call = f"{self.rng.getrandbits(64):016x}"
