--- a/review/peers2.py
+++ b/review/peers2.py
@@ -285,6 +285,7 @@
         self.record = record
         self.events: list[tuple[int, dict]] = []
         self.changed = asyncio.Event()
+        self.streams: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         self.server = await asyncio.start_server(self._serve, HOST, 0)
@@ -296,13 +297,19 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def close_streams(self) -> None:
+        for writer in list(self.streams):
+            writer.close()
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         last = 0
+        self.streams.add(writer)
         with contextlib.suppress(OSError, asyncio.CancelledError):
             while (line := await reader.readline()) not in (b"\r\n", b""):
                 name, _, value = line.partition(b":")
                 if name.lower() == b"last-event-id":
                     last = int(value)
+            self.record(f"board at {self.address}: asked for events after {last}")
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n")
             while not writer.is_closing():
                 changed = self.changed
@@ -314,6 +321,7 @@
                 await writer.drain()
                 with contextlib.suppress(TimeoutError):
                     await asyncio.wait_for(changed.wait(), 1.0)
+        self.streams.discard(writer)
         writer.close()
 
 
