--- a/review/peers2.py
+++ b/review/peers2.py
@@ -610,6 +610,11 @@
     folder = Path(path).resolve().parent
     record = Record(folder / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
+
+    def told_to_end(*_: object) -> None:
+        raise NotRunError("told to end")
+
+    signal.signal(signal.SIGTERM, told_to_end)
     record(f"disruption: {'yes' if trouble else 'no'}")
     with tempfile.TemporaryDirectory() as temporary:
         case = Case(record, Path(temporary), trouble)
