--- a/leadslip/net/clients.py
+++ b/leadslip/net/clients.py
@@ -16,8 +16,9 @@
 from leadslip.request import AnswerReason
 
 HEADER = re.compile(rb"([!-9;-~]+)[ \t]*:[ \t]*([^\r\n]*)\r\n")
+# The number called is passed on as text, so only visible ASCII is accepted in it; `@` and `>` end it.
 START_LINE = re.compile(
-    rb"(?:([A-Z]+) sip:([^\s@>]*)(?:@[^\s]*)? SIP/2\.0|SIP/2\.0 ([1-6][0-9][0-9])(?: [^\r\n]*)?)\r\n"
+    rb"(?:([A-Z]+) sip:([!-=?A-~]*)(?:@[^\s]*)? SIP/2\.0|SIP/2\.0 ([1-6][0-9][0-9])(?: [^\r\n]*)?)\r\n"
 )
 CALL_ID = re.compile(rb"[0-9a-fA-F]{16}")
 CONTENT_LENGTH = re.compile(rb"\r\n(?:Content-Length|l)[ \t]*:[ \t]*([^\r\n]*)", re.IGNORECASE)
@@ -133,12 +134,12 @@
         # Expires-Ms is a duration, while the engine uses Unix time: it is counted from now, when the set-up is parsed.
         request = Request(
             parse_call_id(headers),
-            headers.get(b"priority-class", b"").decode("utf-8", "replace"),
+            parse_class(headers.get(b"priority-class", b"")),
             now_ms + expires_ms,
             downstream,
             bytes(body),  # a copy, as a view would keep the whole read in memory until the last retry
         )
-        request.number_called = number.decode("ascii", "replace")
+        request.number_called = number.decode("ascii")
         for field in headers.get(b"p-trunk-info", b"").split(b";"):
             name, _, value = field.partition(b":")
             if name == b"dest":
@@ -225,6 +226,14 @@
     return value.decode("ascii").lower()
 
 
+def parse_class(value: bytes) -> str:
+    """Returns the name of a class, which need not exist."""
+    try:
+        return value.decode("utf-8")
+    except UnicodeDecodeError as decode_error:
+        raise MessageError("Priority-Class must be UTF-8") from decode_error
+
+
 def parse_unsigned(value: bytes | None, error_text: str) -> float:
     """Parses a non-negative integer of at most 12 digits."""
     if value is None or not value.isdigit() or len(value) > 12:
