Reject an ENUM question that can't be asked of a resolver unchanged

What clients saw: a query for a name with a dot inside a label was looked up as another name, and the reply repeated a question that the client had not asked.

Cause: the codec joins labels by dots, so that the label "2.1" becomes the labels "2" and "1" when the question is encoded for the resolver and for the reply.

Change: the encoded question has to stand in the client's message as it is; otherwise the query is malformed and gets a format error.

--- a/leadslip/net/enum.py
+++ b/leadslip/net/enum.py
@@ -142,7 +142,10 @@
             max_size = min(max([MIN_DATAGRAM, *sizes]), MAX_DATAGRAM)
         key = (client, message.id, query.name.name.lower(), query.type)
         client_query = ClientQuery(send_reply, key, data, message, max_size)
-        number = number_of(query.name.name.decode("ascii", "replace"), self.conf.suffix)
+        if not data.startswith(client_query.question, HEADER.size):
+            # The codec joins labels by dots, so that a label with a dot in it would be passed on as two labels.
+            raise MessageError("the question can't be passed on unchanged")
+        number = number_of(query.name.name.decode("latin-1"), self.conf.suffix)
         if message.opCode != dns.OP_QUERY:
             send_reply(client_query.empty_reply(dns.ENOTIMP))
         elif number is None or query.cls != dns.IN or query.type != dns.NAPTR:
