--- a/leadslip/net/servers.py
+++ b/leadslip/net/servers.py
@@ -13,6 +13,7 @@
 from leadslip.core import Attempt, Deadlines, Engine
 from leadslip.metrics import Metrics
 from leadslip.net.connections import LengthPrefixedReceiver, MessageError
+from leadslip.net.reconnect import ReconnectBackoff
 
 # Message types. STATE carries a load report; PROGRESS precedes the answer to a set-up.
 SET_UP, PROGRESS, ANSWER, RELEASE, RELEASE_ACK, STATE, TEST, TEST_RESULT = 1, 6, 9, 12, 16, 43, 52, 53
@@ -205,6 +206,7 @@
         self.pending: ServerConnection | None = None  # open, but no message received yet
         self.connecting = False
         self.connect_started_ms = 0.0
+        self.reconnect = ReconnectBackoff()
         self.latest_answered_sent_ms = 0.0  # when the latest of the answered set-ups was sent
         self.last_state_report_ms = 0.0  # when the last report came that every connection should receive
         self.consecutive_resets = 0  # successive new connections lost before their first message
@@ -351,6 +353,7 @@
     def _activate(self, connection: ServerConnection) -> None:
         """Makes a pending connection active; older ones still deliver the results of their set-ups."""
         self.pending, self.unreachable = None, False
+        self.reconnect.succeeded()
         now_ms = self.upstream.now_ms()
         for surplus in self._surplus(now_ms):
             self.active.remove(surplus)
@@ -397,6 +400,7 @@
         """Handles a failed connect: queued set-ups go to other servers, and calls of a lost server end."""
         self.connecting = False
         self.unreachable = True
+        self.reconnect.failed(self.upstream.now_ms())
         self.upstream.metrics.add("servers.refused" if refused else "servers.unreachable")
         self._fail_queued()
         silent_ms = self.upstream.now_ms() - self.last_received_ms
@@ -417,6 +421,7 @@
         The server is not marked as unreachable, as the failure says nothing about it.
         """
         self.connecting = False
+        self.reconnect.failed(self.upstream.now_ms())
         self.upstream.metrics.add("servers.no_socket")
         self._fail_queued()
         self.upstream.remove_if_unused(self)
@@ -449,6 +454,7 @@
             self.consecutive_resets += 1
             if self.consecutive_resets >= MAX_CONSECUTIVE_RESETS:
                 self.consecutive_resets = 0
+                self.reconnect.failed(self.upstream.now_ms())
                 self._fail_queued()
             else:
                 self.connect()
@@ -577,7 +583,9 @@
         if now_ms - self.connect_started_ms < SILENCE_TIMEOUT_MS / 3:
             return
         if not self.active:
-            if self.calls or self.unsent_releases:
+            # Without calls as well: a server sends the ends of calls that an earlier process of this proxy set up on
+            # any open connection.
+            if self.calls or self.unsent_releases or self.reconnect.is_due(now_ms):
                 self.connect()
             return
         silent_ms = now_ms - self.last_received_ms
