--- a/leadslip/net/clients.py
+++ b/leadslip/net/clients.py
@@ -9,8 +9,9 @@
 
 from leadslip.core import Engine, Request, State
 from leadslip.metrics import Metrics
-from leadslip.net.connections import InboundConnection, InboundConnections, MessageError, TextMessageReceiver
+from leadslip.net.connections import MessageError, TextMessageReceiver
 from leadslip.net.drain import ConnectionDrain
+from leadslip.net.inbound import InboundConnection, InboundConnections
 from leadslip.net.releases import CallerEvidence, Releases
 from leadslip.readiness import Readiness
 from leadslip.request import AnswerReason
--- a/leadslip/net/drain.py
+++ b/leadslip/net/drain.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from leadslip.net.connections import InboundConnection, InboundConnections
+from leadslip.net.inbound import InboundConnection, InboundConnections
 from leadslip.readiness import Readiness
 
 CHECK_INTERVAL_MS = 100.0
--- a/leadslip/net/enum.py
+++ b/leadslip/net/enum.py
@@ -19,12 +19,8 @@
 from leadslip.core import Attempt, Deadlines, Engine, Observer, Request
 from leadslip.logs import Log
 from leadslip.metrics import Metrics
-from leadslip.net.connections import (
-    InboundConnection,
-    InboundConnections,
-    LengthPrefixedReceiver,
-    MessageError,
-)
+from leadslip.net.connections import LengthPrefixedReceiver, MessageError
+from leadslip.net.inbound import InboundConnection, InboundConnections
 from leadslip.parts.enum.settings import EnumConfig
 
 HEADER = struct.Struct("!HBBHHHH")
--- a/leadslip/net/reconnect.py
+++ b/leadslip/net/reconnect.py
@@ -7,7 +7,9 @@
 FIRST_INTERVAL_MS = 500.0
 # The end of a call must reach its caller within 8 s, also if it can be told only on the next connection.
 MAX_INTERVAL_MS = 4000.0
-JITTER = 0.25  # largest part by which an interval is shortened at random, so that proxies do not connect in step
+JITTER = (
+    0.25  # largest part by which an interval is shortened at random, so that proxies do not connect in step
+)
 
 
 class ReconnectBackoff:
@@ -15,7 +17,9 @@
 
     def __init__(self) -> None:
         self.next_interval_ms = FIRST_INTERVAL_MS
-        self.due_ms = float("inf")  # when to connect again; infinite: no connect has failed since the last success
+        self.due_ms = float(
+            "inf"
+        )  # when to connect again; infinite: no connect has failed since the last success
 
     def failed(self, now_ms: float) -> None:
         """Records that a connection was lost or did not come up, and plans the next connect."""
--- a/leadslip/net/releases.py
+++ b/leadslip/net/releases.py
@@ -10,7 +10,7 @@
 from enum import IntEnum
 
 from leadslip.core import Engine
-from leadslip.net.connections import InboundConnection, InboundConnections
+from leadslip.net.inbound import InboundConnection, InboundConnections
 
 RELEASE_TTL_MS = 8000.0  # after this time since the call's end, an unacknowledged release is dropped
 RESEND_AFTER_MS = 300.0  # until an unacknowledged release is sent on another connection; doubles each time
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -7,7 +7,8 @@
 
 from leadslip import interface
 from leadslip.net.clients import Clients
-from leadslip.net.connections import OVERFLOW_TIMEOUT_MS, READ_BYTES, WRITE_STALL_TIMEOUT_MS
+from leadslip.net.connections import READ_BYTES, WRITE_STALL_TIMEOUT_MS
+from leadslip.net.inbound import OVERFLOW_TIMEOUT_MS
 from leadslip.net.servers import Server
 from leadslip.readiness import Readiness
 from tests.standins import encode_message
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -9,7 +9,8 @@
 
 from leadslip import interface
 from leadslip.net.clients import Clients
-from leadslip.net.connections import FIRST_MESSAGE_TIMEOUT_MS, IDLE_TIMEOUT_MS, WRITE_STALL_TIMEOUT_MS
+from leadslip.net.connections import WRITE_STALL_TIMEOUT_MS
+from leadslip.net.inbound import FIRST_MESSAGE_TIMEOUT_MS, IDLE_TIMEOUT_MS
 from leadslip.readiness import Readiness
 from tests.standins import Caller, Program, SetupServer
 from tests.test_core import EngineFixture
