Test of drains: its stand-in server releases calls in time beside load

Cause: the stand-in starts two threads for each call, some 200 at a time. In a trace (debug log) the proxy got a release 0.41 s after that time and sent it on in the same millisecond: the threads wait for one another between noting the time and sending.

Change: one thread does all that is due. The bound is as it was.

--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -1,6 +1,8 @@
 """Drains of a running proxy whose callers keep using their open connections."""
 
 import contextlib
+import itertools
+import queue
 import socket
 import threading
 import time
@@ -17,18 +19,39 @@
 ANSWER_DELAY_S = 0.12
 CALL_DURATION_S = 1.5
 RELEASE_LIMIT_S = 1.05
+POLL_S = 0.002
 TCP_ESTABLISHED = 1  # Linux's number of this state, in the first byte of TCP_INFO
 UNREAD_ANSWERS = 40_000  # more than the buffers of both sockets hold
 
 
 class DelayedServer(SetupServer):
-    """A setup server that answers each set-up after `answer_delay_s` and releases the call `call_duration_s` later."""
+    """A setup server that answers each set-up after `answer_delay_s` and releases the call `call_duration_s` later.
+
+    One thread does all of it: with a thread for each call they wait for one another, some tenths of a second beside
+    other load, between the time that is noted for a release and its sending.
+    """
 
     def __init__(self, answer_delay_s=ANSWER_DELAY_S, call_duration_s=CALL_DURATION_S):
         self.answer_delay_s, self.call_duration_s = answer_delay_s, call_duration_s
         self.released_at = {}
+        self.due = queue.PriorityQueue()  # (time, number, action)
+        self.numbers = itertools.count()
+        threading.Thread(target=self._run_due, daemon=True).start()
         super().__init__()
 
+    def _run_due(self):
+        while True:
+            due_at, number, action = self.due.get()
+            wait_s = due_at - time.monotonic()
+            if wait_s <= 0:
+                action()
+            else:  # an action that is due earlier may be added meanwhile
+                self.due.put((due_at, number, action))
+                time.sleep(min(wait_s, POLL_S))
+
+    def _call_later(self, delay_s, action):
+        self.due.put((time.monotonic() + delay_s, next(self.numbers), action))
+
     def report(self):
         return b"x0:5000;x1:5000"
 
@@ -42,8 +65,8 @@
             with contextlib.suppress(OSError):
                 connection.sendall(encode_message(12, call, (61, b"\x10")))
 
-        threading.Timer(self.answer_delay_s, establish).start()
-        threading.Timer(self.answer_delay_s + self.call_duration_s, release).start()
+        self._call_later(self.answer_delay_s, establish)
+        self._call_later(self.answer_delay_s + self.call_duration_s, release)
 
 
 class PersistentCaller(Caller):
