Read callers in slices of 4 KiB, one a turn, so that a flood does not delay others

Cause: a read took 64 KiB, up to 2,000 messages, and parsed all of it in one turn of the reactor. Each set-up that was about to be sent parsed what else was unread on its caller's connection, up to 64 KiB again, to find a cancellation.

Change: a read takes 4 KiB. Requests still wait until up to 64 KiB behind them have been looked at, but over further turns. Before a set-up is sent, what is unread is parsed only if it is short or has the call's id in it; the rest waits its turn. test_a_flood_on_one_connection_is_read_up_to_the_size_of_one_read_per_turn asserted one read of 64 KiB a turn; its replacement asserts one of 4 KiB a turn, and the same limit for what lies behind a request.

--- a/leadslip/deadlines.py
+++ b/leadslip/deadlines.py
@@ -66,6 +66,10 @@
             self._arm()
         return entry
 
+    def call_next_turn(self, callback: Callable[[], None]) -> None:
+        """Call a function in the reactor's next turn, after other sockets have been read."""
+        self.scheduler.callLater(0.0, callback)
+
     def cancel(self, entry: Deadline | None) -> None:
         """Cancel a deadline, if it is pending; the heap is compacted when most of its entries are cancelled."""
         if entry is None or entry.callback is None:
--- a/leadslip/net/clients.py
+++ b/leadslip/net/clients.py
@@ -9,9 +9,9 @@
 
 from leadslip.core import Engine, Request, State
 from leadslip.metrics import Metrics
-from leadslip.net.connections import MessageError, TextMessageReceiver
+from leadslip.net.connections import READ_BYTES, MessageError, TextMessageReceiver
 from leadslip.net.drain import ConnectionDrain
-from leadslip.net.inbound import InboundConnection, InboundConnections
+from leadslip.net.inbound import SLICE_BYTES, InboundConnection, InboundConnections
 from leadslip.net.releases import CallerEvidence, Releases
 from leadslip.readiness import Readiness
 from leadslip.request import AnswerReason
@@ -93,6 +93,26 @@
         if self.overflow and self.last_received_ms:
             self.inbound.close(self, "over_limit")
 
+    def read_pending_about(self, request_id: bytes) -> None:
+        """Notices whether the peer has left, or has sent a message that may concern one request.
+
+        What is unread is processed at once only if it is short or has the id in it, as each set-up that is about to be
+        sent asks for this: otherwise a flood on one connection would delay all others.
+        """
+        if self.can_not_read():
+            return
+        room = READ_BYTES - len(self.read_ahead)
+        data = self.read_available(room) if room > 0 else None
+        if data == b"":
+            self.inbound.close(self, "ended")
+            return
+        self.read_ahead += data or b""
+        if len(self.read_ahead) >= SLICE_BYTES and request_id not in (self._buffer + self.read_ahead).lower():
+            self.process_rest_in_next_turn()
+        elif self.read_ahead:
+            data, self.read_ahead = self.read_ahead, b""
+            self.process(data, may_wait=False)
+
     def messageReceived(self, head: memoryview, body: memoryview) -> None:
         self.message_received()
         start = START_LINE.match(head)
@@ -313,7 +333,7 @@
 
     def read_pending(self, request: Request) -> None:
         """Called by the engine before it sends the request to a server: processes a cancellation that has arrived."""
-        request.context[0].read_pending()
+        request.context[0].read_pending_about(request.id.encode("ascii"))
 
     def withdraw(self, request: Request) -> None:
         """Cancels a set-up whose caller has left or cancelled it; it gets no answer."""
--- a/leadslip/net/connections.py
+++ b/leadslip/net/connections.py
@@ -19,7 +19,7 @@
 
 MAX_MESSAGE_BYTES = 16 * 1024  # the protocol's limit
 WRITE_STALL_TIMEOUT_MS = 2000.0  # for a peer to resume reading what was written to it
-READ_BYTES = 64 * 1024  # of one read, as in Twisted; also the limit for one connection in one reactor turn
+READ_BYTES = 64 * 1024  # of one read, as in Twisted
 
 
 def listen_shared(
--- a/leadslip/net/inbound.py
+++ b/leadslip/net/inbound.py
@@ -16,7 +16,7 @@
 IDLE_TIMEOUT_MS = 15_000.0  # for a connection without a pending answer and without calls
 CHECK_INTERVAL_MS = 200.0
 OVERFLOW_TIMEOUT_MS = 500.0  # for a connection over the limit to send the request that is then refused
-MAX_EXTRA_READS = 4  # further reads of a connection before the requests of its first read are offered
+SLICE_BYTES = 4 * 1024  # that are read from one connection and processed in one turn of the reactor
 
 
 class InboundConnection(Connection):
@@ -25,7 +25,10 @@
     inbound: InboundConnections
     opened_ms = 0.0
     last_received_ms = 0.0  # when the last complete message arrived; 0: none yet
-    processing_read = False  # dataReceived is running
+    processing_read = False  # what was read is being processed
+    read_ahead = b""  # read from the socket, but not processed yet
+    slice_scheduled = False  # a slice of it is processed in the next turn
+    unoffered_bytes = 0  # processed since requests were last offered to the engine
     overflow = False  # accepted over the limit: its requests are refused, and it is closed
     close_despite_calls = False  # a drain closes it even if calls established on it go on
     unacknowledged_releases = 0  # number of releases of ended calls that were last sent on this connection
@@ -35,6 +38,9 @@
         self.opened_ms = self.now_ms()
         peer = self.transport.getPeer()
         self.peer_name = f"{peer.host}:{peer.port}"
+        self.transport.bufferSize = (
+            SLICE_BYTES  # of each read; more than this is left in the socket or read ahead
+        )
         self.overflow = len(self.inbound.open) >= self.inbound.max_connections
         self.inbound.open[self] = self.inbound.no_message_yet[self] = None
         super().connectionMade()
@@ -43,31 +49,66 @@
         self.inbound.connection_closed(self)
 
     def dataReceived(self, data: bytes) -> None:
-        """Processes a read and, if it contained requests, also data that has arrived since; then offers the requests.
+        """Processes a read: at most SLICE_BYTES in one turn of the reactor, so that a flood does not delay others."""
+        if self.read_ahead:
+            self.read_ahead += data
+            self._process_read_ahead()
+        else:
+            self.process(data)
+
+    def _process_read_ahead(self) -> None:
+        """Processes the next slice of what has been read ahead."""
+        if self.processing_read or self not in self.inbound.open or not self.read_ahead:
+            return
+        data, self.read_ahead = self.read_ahead[:SLICE_BYTES], self.read_ahead[SLICE_BYTES:]
+        self.process(data)
+        if self.read_ahead and self in self.inbound.open:
+            self.process_rest_in_next_turn()
+
+    def process_rest_in_next_turn(self) -> None:
+        """Processes one slice of what has been read ahead in the reactor's next turn."""
+        if not self.slice_scheduled:
+            self.slice_scheduled = True
+            self.inbound.deadlines.call_next_turn(self._process_scheduled_slice)
+
+    def _process_scheduled_slice(self) -> None:
+        self.slice_scheduled = False
+        self._process_read_ahead()
+
+    def process(self, data: bytes, may_wait: bool = True) -> None:
+        """Processes data, and offers the requests in it once what has arrived behind them is known.
 
         Prevents servers from working on requests that are already cancelled or whose caller has disconnected: the
-        cancellation or the end of the connection may directly follow the request. The total is limited to the size
-        of one read, so that a flood does not delay all other connections.
+        cancellation or the end of the connection may directly follow the request. With `may_wait`, requests wait for
+        further turns while up to READ_BYTES lie behind them.
         """
         self.processing_read = True
-        left = READ_BYTES - len(data)
         try:
             super().dataReceived(data)
-            for _ in range(MAX_EXTRA_READS):
-                if left <= 0 or not self.has_new_requests() or self not in self.inbound.open:
-                    break
-                more = self.read_available(left)
-                if more is None:
-                    break
-                if not more:
-                    self.inbound.close(self, "ended")
-                    return
-                left -= len(more)
-                super().dataReceived(more)
-            self.read_finished()
+            self.unoffered_bytes += len(data)
+            if self.has_new_requests() and may_wait and self._more_has_arrived():
+                return
+            self.unoffered_bytes = 0
+            if self in self.inbound.open:
+                self.read_finished()
         finally:
             self.processing_read = False
 
+    def _more_has_arrived(self) -> bool:
+        """Returns whether the requests wait for more that has arrived; processes it at once if it is short."""
+        if self.unoffered_bytes >= READ_BYTES or self not in self.inbound.open:
+            return False
+        if not self.read_ahead:
+            more = self.read_available(SLICE_BYTES)
+            if more and len(more) < SLICE_BYTES:
+                super().dataReceived(more)
+            elif more:
+                self.read_ahead = more
+                self.process_rest_in_next_turn()
+            elif more is not None:
+                self.inbound.close(self, "ended")
+        return bool(self.read_ahead)
+
     def has_new_requests(self) -> bool:
         """Returns whether requests have been read that are not yet offered to the engine."""
         return False
@@ -77,14 +118,19 @@
 
     def read_pending(self) -> None:
         """Processes data that has arrived in the socket; closes the connection if its peer has closed it."""
-        if self.processing_read or self not in self.inbound.open or self.transport.disconnecting:
+        if self.can_not_read():
             return
         data = self.read_available()
-        if data:
-            self.dataReceived(data)
+        if data or (data is None and self.read_ahead):
+            data, self.read_ahead = self.read_ahead + (data or b""), b""
+            self.process(data, may_wait=False)
         elif data is not None:
             self.inbound.close(self, "ended")
 
+    def can_not_read(self) -> bool:
+        """Returns whether nothing may be read from the connection now."""
+        return self.processing_read or self not in self.inbound.open or self.transport.disconnecting
+
     def message_received(self) -> None:
         """Records that a complete message has arrived."""
         self.last_received_ms = self.now_ms()
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -50,7 +50,10 @@
             raise BlockingIOError
         if self.unread[0] is None:
             return b""
-        return self.unread.pop(0)
+        data, self.unread[0] = self.unread[0][:size], self.unread[0][size:]
+        if not self.unread[0]:
+            del self.unread[0]
+        return data
 
     def doWrite(self):  # noqa: N802
         self.flushed = len(self.value())
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -8,7 +8,7 @@
 from leadslip import interface
 from leadslip.net.clients import Clients
 from leadslip.net.connections import READ_BYTES, WRITE_STALL_TIMEOUT_MS
-from leadslip.net.inbound import OVERFLOW_TIMEOUT_MS
+from leadslip.net.inbound import OVERFLOW_TIMEOUT_MS, SLICE_BYTES
 from leadslip.net.servers import Server
 from leadslip.readiness import Readiness
 from tests.standins import encode_message
@@ -99,9 +99,9 @@
     _, (first, second) = callers(world, 2)
     first.dataReceived(invite())
     second.dataReceived(invite(OTHER_ID))
-    read_pending = first.read_pending
+    read_pending = first.read_pending_about
     # Sending the first set-up ends the second, as its caller disconnects.
-    first.read_pending = lambda: (read_pending(), second.connectionLost())
+    first.read_pending_about = lambda id_: (read_pending(id_), second.connectionLost())
     newer = open_connection(connection.server)
     assert [set_up_count(newer, id_) for id_ in (ID, OTHER_ID)] == [1, 0]
 
@@ -274,21 +274,50 @@
     assert not connection.transport.value().endswith(encode_message(12, bytes.fromhex(ID), (61, b"\x10")))
 
 
-def test_a_flood_on_one_connection_is_read_up_to_the_size_of_one_read_per_turn():
-    world, _ = connect_server()
+def test_a_flood_on_one_connection_is_read_by_one_slice_per_turn_and_offered_after_a_limited_size():
+    world, server = connect_server()
+    _, (caller,) = callers(world, 1)
+    flood = b"".join(invite(f"{number:016x}") for number in range(2000))
+    slices = [flood[start : start + SLICE_BYTES] for start in range(0, len(flood), SLICE_BYTES)]
+    caller.transport.unread += slices[1:]
+    assert caller.transport.bufferSize == SLICE_BYTES, "of the reactor's own reads"
+    next_turn = []
+    world.deadlines.call_next_turn = next_turn.append
+    caller.dataReceived(slices[0])
+    turns = 0
+    while not set_up_count(server, "0" * 16):
+        assert len(caller.transport.unread) == len(slices) - 2 - turns, "one further slice per turn"
+        (callback,) = next_turn
+        next_turn.clear()
+        callback()
+        turns += 1
+    processed = (turns + 1) * SLICE_BYTES
+    assert READ_BYTES - SLICE_BYTES <= processed <= READ_BYTES + SLICE_BYTES
+
+
+# Guards against delays for all other callers (picture b): each retry of a flood parsed all that was unread.
+def test_what_is_unread_is_parsed_at_once_only_if_it_may_concern_the_request_to_be_sent():
+    world, first = connect_server()
+    second = second_server(first)
     _, (caller,) = callers(world, 1)
-    ids = iter(range(100_000))
-    read = b"".join(invite(f"{next(ids):016x}") for _ in range(100))
-    caller.transport.unread += [b"".join(invite(f"{next(ids):016x}") for _ in range(100)) for _ in range(100)]
-    sizes = []
-    read_available = caller.read_available
-    caller.read_available = lambda max_bytes: sizes.append(max_bytes) or read_available(max_bytes)
-    caller.dataReceived(read)
-    assert sizes[0] == READ_BYTES - len(read) and all(size > 0 for size in sizes) and len(sizes) <= 4
-    before = len(sizes)
-    last = invite(f"{next(ids):016x}")
-    caller.dataReceived(b"\r\n" * ((READ_BYTES - len(last)) // 2 + 1) + last)
-    assert len(sizes) == before, "no further read follows a full one in the same turn"
+    caller.dataReceived(invite())
+    caller.transport.unread.append(sip(b"OPTIONS", OTHER_ID) * 100)
+    before = caller.transport.value().count(b"SIP/2.0 200")
+    first.dataReceived(encode_message(12, bytes.fromhex(ID), (61, b"\x22"), (47, b"overload")))
+    assert set_up_count(second) == 1 and caller.transport.value().count(b"SIP/2.0 200") == before
+    for _ in range(100):
+        world.time.advance(0.0)
+    assert caller.transport.value().count(b"SIP/2.0 200") == before + 100
+
+
+def test_a_cancellation_behind_much_that_is_unread_still_prevents_a_retry():
+    world, first = connect_server()
+    second = second_server(first)
+    _, (caller,) = callers(world, 1)
+    caller.dataReceived(invite())
+    caller.transport.unread.append(sip(b"OPTIONS", OTHER_ID) * 300 + sip(b"CANCEL", ID.upper()))
+    first.dataReceived(encode_message(12, bytes.fromhex(ID), (61, b"\x22"), (47, b"overload")))
+    assert set_up_count(second) == 0 and not world.engine.open_requests
 
 
 ANSWERED = encode_message(9, bytes.fromhex(ID), (63, b"sdp"))
