Do not send requests of a caller that has closed its connection with much still unread

Cause: a caller's end was noticed only when everything before it had been read, of which one turn takes in 64 KiB; then requests were offered.

Change: before requests are offered and before a set-up is sent, TCP_INFO tells if the peer has closed or reset the connection, however much is unread. ENUM over TCP asks the same, instead of parsing what is unread. Where the system does not tell, nothing changes.

--- a/leadslip/net/clients.py
+++ b/leadslip/net/clients.py
@@ -103,7 +103,7 @@
             return
         room = READ_BYTES - len(self.read_ahead)
         data = self.read_available(room) if room > 0 else None
-        if data == b"":
+        if data == b"" or self.peer_has_closed():
             self.inbound.close(self, "ended")
             return
         self.read_ahead += data or b""
--- a/leadslip/net/connections.py
+++ b/leadslip/net/connections.py
@@ -20,6 +20,7 @@
 MAX_MESSAGE_BYTES = 16 * 1024  # the protocol's limit
 WRITE_STALL_TIMEOUT_MS = 2000.0  # for a peer to resume reading what was written to it
 READ_BYTES = 64 * 1024  # of one read, as in Twisted
+PEER_CLOSED_STATES = (7, 8)  # of Linux's TCP_INFO: TCP_CLOSE, after a reset, and TCP_CLOSE_WAIT
 
 
 def listen_shared(
@@ -121,6 +122,14 @@
         self.metrics.add(f"{self.peer_kind}.malformed")
         self.transport.abortConnection()
 
+    def peer_has_closed(self) -> bool:
+        """Returns whether the peer has closed the connection, however much that it has sent before is unread."""
+        try:
+            state = self.transport.getHandle().getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+        except OSError:
+            return False  # unknown: it is noticed once everything before it is read
+        return state[0] in PEER_CLOSED_STATES
+
     def read_available(self, max_bytes: int = READ_BYTES) -> bytes | None:
         """Reads data that has arrived in the socket; returns b"" at the end of the connection, None without data."""
         try:
--- a/leadslip/net/enum.py
+++ b/leadslip/net/enum.py
@@ -159,10 +159,10 @@
         return None
 
     def read_pending(self, request: Request) -> None:
-        """Reads what waits on the client's TCP connection, to notice if it has closed; UDP clients can't be checked."""
+        """Cancels the look-up if the client has closed its TCP connection; UDP clients can't be checked."""
         client = request.context.key[0]
         if isinstance(client, EnumConnection):
-            client.read_pending()
+            client.close_if_peer_has_left()
 
     def client_left(self, request: Request) -> None:
         """Cancels the request of a client that has disconnected."""
--- a/leadslip/net/inbound.py
+++ b/leadslip/net/inbound.py
@@ -86,8 +86,11 @@
         try:
             super().dataReceived(data)
             self.unoffered_bytes += len(data)
-            if self.has_new_requests() and may_wait and self._more_has_arrived():
-                return
+            if self.has_new_requests():
+                if may_wait and self._more_has_arrived():
+                    return
+                if self.peer_has_closed():
+                    self.inbound.close(self, "ended")
             self.unoffered_bytes = 0
             if self in self.inbound.open:
                 self.read_finished()
@@ -127,6 +130,11 @@
         elif data is not None:
             self.inbound.close(self, "ended")
 
+    def close_if_peer_has_left(self) -> None:
+        """Closes the connection if its peer has closed it, without processing what is unread."""
+        if self in self.inbound.open and self.peer_has_closed():
+            self.inbound.close(self, "ended")
+
     def can_not_read(self) -> bool:
         """Returns whether nothing may be read from the connection now."""
         return self.processing_read or self not in self.inbound.open or self.transport.disconnecting
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -55,6 +55,10 @@
             del self.unread[0]
         return data
 
+    def getsockopt(self, level, option, size):
+        """Returns the state in TCP_INFO: CLOSE_WAIT if the end of the connection has arrived, else ESTABLISHED."""
+        return b"\x08" if None in self.unread else b"\x01"
+
     def doWrite(self):  # noqa: N802
         self.flushed = len(self.value())
 
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -295,6 +295,29 @@
     assert READ_BYTES - SLICE_BYTES <= processed <= READ_BYTES + SLICE_BYTES
 
 
+# Guards against work for callers that have gone (picture c): with more unread than one look took in, the requests of a
+# caller that had closed its connection were sent on.
+def test_no_request_is_sent_if_the_caller_has_closed_with_much_still_unread():
+    world, server = connect_server()
+    _, (caller,) = callers(world, 1)
+    flood = b"".join(invite(f"{number:016x}") for number in range(2000))
+    caller.transport.unread += [flood, END_OF_STREAM]
+    caller.dataReceived(invite())
+    for _ in range(200):
+        world.time.advance(0.0)
+    assert server.transport.value().count(b"c=IN") == 0 and not world.engine.open_requests
+
+
+# Guards against the same for a request that waited for a connection while its caller sent much and left.
+def test_no_queued_request_is_sent_if_the_caller_has_closed_with_much_still_unread():
+    world, connection = connect_server()
+    connection.connectionLost()
+    _, (caller,) = callers(world, 1)
+    caller.dataReceived(invite())
+    caller.transport.unread += [sip(b"OPTIONS", OTHER_ID) * 1000, END_OF_STREAM]
+    assert set_up_count(open_connection(connection.server)) == 0 and not world.engine.open_requests
+
+
 # Guards against delays for all other callers (picture b): each retry of a flood parsed all that was unread.
 def test_what_is_unread_is_parsed_at_once_only_if_it_may_concern_the_request_to_be_sent():
     world, first = connect_server()
