Read no more from a client while its answers wait, and abort one that reads none for 2 s

Cause: requests were read on while the answers before them waited in the write buffer. A peer that does not read was aborted only 2 s later and when something was sent to it.

Two new tests fail without the change: growth of 15.9 MB in 2 s where 8 are allowed, and a connection never aborted.

--- a/leadslip/net/inbound.py
+++ b/leadslip/net/inbound.py
@@ -48,6 +48,15 @@
     def connectionLost(self, reason: object = None) -> None:
         self.inbound.connection_closed(self)
 
+    def pauseProducing(self) -> None:
+        """Reads no more from a peer while what was written to it waits, so that its answers can't fill the memory."""
+        super().pauseProducing()
+        self.transport.pauseProducing()
+
+    def resumeProducing(self) -> None:
+        super().resumeProducing()
+        self.transport.resumeProducing()
+
     def dataReceived(self, data: bytes) -> None:
         """Processes a read: at most SLICE_BYTES in one turn of the reactor, so that a flood does not delay others."""
         if self.read_ahead:
@@ -288,10 +297,13 @@
                 connection.transport.abortConnection()
 
     def check_connections(self, _: object = None) -> None:
-        """Closes connections that are silent or idle for too long, or that never finish a message."""
+        """Closes connections that are silent or idle for too long, or never finish a message or read their answers."""
         now_ms = self.deadlines.clock.now_ms()
         self.abort_closing(WRITE_STALL_TIMEOUT_MS)
         for connection in list(self.open):
+            if connection.stalled_since_ms and now_ms - connection.stalled_since_ms > WRITE_STALL_TIMEOUT_MS:
+                self._abort_stalled(connection)
+                continue
             reason = self._timed_out(connection, now_ms)
             if reason is None:
                 continue
@@ -300,6 +312,13 @@
                 self.close(connection, reason)
         self.deadlines.call_at(now_ms + CHECK_INTERVAL_MS, self.check_connections)
 
+    def _abort_stalled(self, connection: InboundConnection) -> None:
+        """Aborts a connection whose peer does not read what was written to it."""
+        self.metrics.add(f"{self.peer_kind}.stalled")
+        self.log_closed(connection, "stalled")
+        self.remove(connection)
+        connection.transport.abortConnection()
+
     @staticmethod
     def _timed_out(connection: InboundConnection, now_ms: float) -> str | None:
         """Returns which time-out of a connection has passed, or None."""
--- /dev/null
+++ b/tests/test_pressure.py
@@ -0,0 +1,63 @@
+"""Memory and other callers' answers while clients send at full speed, do not read, or send half of large messages."""
+
+import contextlib
+import socket
+import threading
+import time
+from pathlib import Path
+
+import pytest
+
+from tests.standins import Program, SetupServer
+
+PLAY_S = 2.0
+MAX_GROWTH_MB = 8.0
+
+
+@pytest.fixture
+def program(tmp_path):
+    server = SetupServer()
+    running = Program(tmp_path, {"s0": server.address}, limits={"sockets": 1024})
+    yield running
+    assert running.stop() == 0 and "Traceback" not in "".join(running.log), running.log
+
+
+def peak_mb(program):
+    """Returns the largest resident memory that the process has had so far."""
+    for line in Path(f"/proc/{program.process.pid}/status").read_text().splitlines():
+        if line.startswith("VmHWM:"):
+            return int(line.split()[1]) / 1024.0
+    raise AssertionError("the system does not tell the peak of memory")
+
+
+def send_without_reading(address, message, until):
+    """Sends a message again and again at full speed, and reads nothing."""
+    with contextlib.suppress(OSError), socket.create_connection(address) as connection:
+        connection.setblocking(False)
+        while time.monotonic() < until:
+            try:
+                connection.send(message)
+            except BlockingIOError:
+                time.sleep(0.001)
+
+
+def options(via):
+    return (
+        b"OPTIONS sip:ping@net SIP/2.0\r\nVia: %s\r\nCall-ID: 9b1f03aa5c7e2d41\r\nCSeq: 1 OPTIONS\r\n"
+        b"Content-Length: 0\r\n\r\n" % via
+    )
+
+
+# Guards against memory that grows without end (pictures a and b): requests were read on while their answers were not.
+def test_answers_that_a_client_does_not_read_do_not_fill_the_memory(program):
+    before = peak_mb(program)
+    until = time.monotonic() + PLAY_S
+    floods = [
+        threading.Thread(target=send_without_reading, args=(program.listen, message, until))
+        for message in (options(b"v" * 8000), options(b"peer") * 50)
+    ]
+    for flood in floods:
+        flood.start()
+    for flood in floods:
+        flood.join()
+    assert peak_mb(program) - before < MAX_GROWTH_MB
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -343,6 +343,21 @@
     assert set_up_count(second) == 0 and not world.engine.open_requests
 
 
+# Guards against connections held for good by peers that read nothing: without a send nobody noticed them.
+def test_a_connection_whose_peer_does_not_read_is_not_read_and_aborted_after_2_s():
+    world, _ = connect_server()
+    clients, (caller,) = callers(world, 1)
+    caller.pauseProducing()
+    assert caller.transport.producerState == "paused"
+    caller.resumeProducing()
+    assert caller.transport.producerState == "producing"
+    caller.pauseProducing()
+    world.wait(WRITE_STALL_TIMEOUT_MS - 100)
+    assert caller in clients.connections
+    world.wait(500)
+    assert caller not in clients.connections and world.metrics.counts["clients.stalled"] == 1
+
+
 ANSWERED = encode_message(9, bytes.fromhex(ID), (63, b"sdp"))
 
 
