Parse the header of a slowly written message once, not at each read of its body

Cause: each read searched the header anew for its length, some hundred microseconds for a long one.

Change: once the header is complete, the size of the message is kept, and nothing is parsed until that much is there.

--- a/leadslip/net/connections.py
+++ b/leadslip/net/connections.py
@@ -145,10 +145,17 @@
 
     delimiter = b"\r\n\r\n"
     MAX_LENGTH = MAX_MESSAGE_BYTES
+    _expected_bytes = (
+        0  # size of the incomplete message in the buffer; 0: not known, as its header is incomplete
+    )
 
     def dataReceived(self, data: bytes) -> None:
         if self._buffer:
             data = self._buffer + data
+            if len(data) < self._expected_bytes:
+                self._buffer = data  # otherwise a slow writer would have its header parsed at each read
+                return
+        self._expected_bytes = 0
         view, offset, size = memoryview(data), 0, len(data)
         try:
             while offset < size and not self.transport.disconnecting:
@@ -165,6 +172,7 @@
                 if body_offset + length - offset > MAX_MESSAGE_BYTES:
                     raise MessageError(f"message too long: over {MAX_MESSAGE_BYTES} bytes")
                 if body_offset + length > size:
+                    self._expected_bytes = body_offset + length - offset
                     break
                 self.messageReceived(view[offset : header_end + 2], view[body_offset : body_offset + length])
                 offset = body_offset + length
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -358,6 +358,21 @@
     assert caller not in clients.connections and world.metrics.counts["clients.stalled"] == 1
 
 
+# Guards against processor time that grows with the size of a message times its pieces (picture a): the header was
+# searched through for its length at each read of the body.
+def test_the_header_of_a_message_that_is_written_slowly_is_parsed_once():
+    world, _ = connect_server()
+    _, (caller,) = callers(world, 1)
+    parsed = []
+    body_length = caller.body_length
+    caller.body_length = lambda head: parsed.append(len(head)) or body_length(head)
+    head, _, body = INVITE.replace(b"Length: 10", b"Length: 5000").partition(b"\r\n\r\n")
+    caller.dataReceived(head + b"\r\n\r\n" + body)
+    for _ in range(5000 - len(body)):
+        caller.dataReceived(b"x")
+    assert len(parsed) == 2 and caller.set_ups, "when the header is complete, and when the message is"
+
+
 ANSWERED = encode_message(9, bytes.fromhex(ID), (63, b"sdp"))
 
 
