Do not keep the descriptions and headers of set-ups while their calls go on

Cause: a request kept its description, for further attempts, and the headers that its answer repeats until its call had ended.

Change: both are dropped when the call is established, as there is no further attempt or answer. The new test fails without the change.

--- a/leadslip/core.py
+++ b/leadslip/core.py
@@ -258,6 +258,7 @@
             self.chain.established(request, now_ms)
         self._notify_observer(request, "stands")
         request.downstream.on_established(request, payload)
+        request.payload = b""  # the call may go on for long, and is not set up again
         self._dispatch(
             interface.CallEstablished(request.id, attempt.server, attempt.index, now_ms - attempt.sent_ms)
         )
--- a/leadslip/net/clients.py
+++ b/leadslip/net/clients.py
@@ -348,6 +348,7 @@
         connection.calls.add(request.id)
         length_header = b"Content-Length: %d\r\n\r\n" % len(payload)
         self._answer(request, b"SIP/2.0 200 OK\r\n", length_header, payload)
+        request.context = (connection, b"")  # the echoed headers are not needed for the call's end
         self.releases.add_evidence(connection, CallerEvidence.ESTABLISHED)
 
     def on_refused(self, request: Request, retry_after_ms: float) -> None:
--- a/leadslip/request.py
+++ b/leadslip/request.py
@@ -67,7 +67,10 @@
         self.number_called, self.destination, self.lines = "", -1, 1.0
         # The caller repeats a call that was not established; the call replaces one that was cut.
         self.redialled = self.cut_before = False
-        self.downstream, self.payload = downstream, payload
+        self.downstream, self.payload = (
+            downstream,
+            payload,
+        )  # sent to servers; empty once the call is established
         self.context: object = None  # private data of the downstream side
         self.state = State.OPEN
         self.attempt: Attempt | None = None  # in progress, or carrying the established call
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -373,6 +373,17 @@
     assert len(parsed) == 2 and caller.set_ups, "when the header is complete, and when the message is"
 
 
+# Guards against memory that grows with the size of set-ups times the calls that stand (picture a).
+def test_an_established_call_keeps_neither_the_description_nor_the_headers_of_its_set_up():
+    world, server = connect_server()
+    _, (caller,) = callers(world, 1)
+    caller.dataReceived(invite())
+    server.dataReceived(encode_message(9, bytes.fromhex(ID), (63, b"sdp")))
+    (request,) = world.engine.established_requests.values()
+    assert request.payload == b"" and request.context == (caller, b"")
+    assert b"SIP/2.0 200 OK\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: " + ID.encode() in caller.transport.value()
+
+
 ANSWERED = encode_message(9, bytes.fromhex(ID), (63, b"sdp"))
 
 
