Find the next caller for a release without looking at all callers and releases

Cause: each resend looked at every connection with evidence, and each connection that closed or proved itself at every pending release.

Change: CallerConnections groups connections by their evidence, the latest at the end, so that only those are looked at that a release was sent on. Releases keeps which ones were tried on a connection, and which no proven caller was told. Whom a release is sent to next is as before.

The new test has the property; tests of releases pass.

--- a/leadslip/net/clients.py
+++ b/leadslip/net/clients.py
@@ -9,10 +9,11 @@
 
 from leadslip.core import Engine, Request, State
 from leadslip.metrics import Metrics
+from leadslip.net.callers import CallerEvidence
 from leadslip.net.connections import READ_BYTES, MessageError, TextMessageReceiver
 from leadslip.net.drain import ConnectionDrain
 from leadslip.net.inbound import SLICE_BYTES, InboundConnection, InboundConnections
-from leadslip.net.releases import CallerEvidence, Releases
+from leadslip.net.releases import Releases
 from leadslip.readiness import Readiness
 from leadslip.request import AnswerReason
 
--- a/leadslip/net/releases.py
+++ b/leadslip/net/releases.py
@@ -7,9 +7,9 @@
 
 from collections import OrderedDict
 from collections.abc import Collection
-from enum import IntEnum
 
 from leadslip.core import Engine
+from leadslip.net.callers import CallerConnections, CallerEvidence
 from leadslip.net.inbound import InboundConnection, InboundConnections
 
 RELEASE_TTL_MS = 8000.0  # after this time since the call's end, an unacknowledged release is dropped
@@ -18,15 +18,6 @@
 CAUSE_NORMAL, CAUSE_TEMPORARY_FAILURE = 16, 41  # ITU-T Q.850 cause values, in the Reason header of a release
 
 
-class CallerEvidence(IntEnum):
-    """What suggests that the peer of a connection is a caller, which handles releases; in rising order."""
-
-    NONE = 0  # it may only poll for readiness, for example
-    SET_UP = 1  # it has sent a set-up; these may all have been refused
-    ESTABLISHED = 2  # a call was established on the connection
-    ACKNOWLEDGED = 3  # it has acknowledged a release
-
-
 class PendingRelease:
     """The release of an ended call until a caller has acknowledged it."""
 
@@ -50,8 +41,10 @@
         self.engine, self.inbound = engine, inbound
         self.pending: OrderedDict[str, PendingRelease] = OrderedDict()  # by call id, oldest first
         self.unsent: dict[str, None] = {}  # ids of calls whose release waits for a connection
-        # Connections with any evidence, and the strongest; the one that last gave any is at the end.
-        self.callers: OrderedDict[InboundConnection, CallerEvidence] = OrderedDict()
+        self.unproven: dict[str, None] = {}  # ids of calls whose release was sent to no proven caller yet
+        # Connection -> ids of the pending releases that it was tried for.
+        self.tried_on: dict[InboundConnection, dict[str, None]] = {}
+        self.callers = CallerConnections()
         self.resend_scheduled = False
 
     def is_pending(self, id_: str) -> bool:
@@ -66,12 +59,15 @@
 
     def connection_closed(self, connection: InboundConnection) -> None:
         """Sends the unacknowledged releases of a closed connection elsewhere."""
-        self.callers.pop(connection, None)
+        self.callers.remove(connection)
         self._expire()
-        for id_, pending in list(self.pending.items()):
+        for id_ in self.tried_on.pop(connection, {}):
+            pending = self.pending[id_]
             pending.tried.discard(connection)
             if pending.connection is connection:
                 self._send(id_, self._next_connection(pending))
+            else:
+                self._note_proof(id_, pending)
 
     def add_evidence(self, connection: InboundConnection, evidence: CallerEvidence) -> None:
         """Records that the peer of a connection has done what callers do.
@@ -80,18 +76,22 @@
         """
         if connection not in self.inbound.open:
             return
-        was_proven = self._is_proven(connection)
-        self.callers[connection] = max(evidence, self.callers.get(connection, CallerEvidence.NONE))
-        self.callers.move_to_end(connection)
-        if was_proven or not self._is_proven(connection):
+        was_proven = self.callers.is_proven(connection)
+        self.callers.add(connection, evidence)
+        if was_proven or not self.callers.is_proven(connection):
             return
-        for id_, pending in list(self.pending.items()):
-            if not any(map(self._is_proven, pending.tried)):
+        for id_ in list(self.unproven):
+            if connection in self.pending[id_].tried:
+                del self.unproven[id_]
+            else:
                 self._send(id_, connection)
 
-    def _is_proven(self, connection: InboundConnection) -> bool:
-        """Returns whether the peer of a connection has shown to be a caller by more than a set-up."""
-        return self.callers.get(connection, CallerEvidence.NONE) >= CallerEvidence.ESTABLISHED
+    def _note_proof(self, id_: str, pending: PendingRelease) -> None:
+        """Records whether a release has been sent to a proven caller."""
+        if any(map(self.callers.is_proven, pending.tried)):
+            self.unproven.pop(id_, None)
+        else:
+            self.unproven[id_] = None
 
     def release(self, id_: str, cut: bool, connection: InboundConnection | None = None) -> None:
         """Sends the release of an ended call to its caller, and resends it until it is acknowledged or expires.
@@ -129,10 +129,7 @@
         the one that last sent any message. Peers that stay connected after a refused set-up, or only poll for
         readiness, do not handle releases, but may have sent the latest message.
         """
-        found, found_evidence = None, CallerEvidence.NONE
-        for connection, evidence in reversed(self.callers.items()):
-            if evidence > found_evidence and connection not in exclude:
-                found, found_evidence = connection, evidence
+        found = self.callers.best(exclude)
         if found is not None:
             return found
         others = (connection for connection in reversed(self.inbound.open) if connection not in exclude)
@@ -165,10 +162,12 @@
         pending = self.pending[id_]
         while connection is not None:
             pending.tried.add(connection)
+            self.tried_on.setdefault(connection, {})[id_] = None
             if connection.send(pending.message):
                 break
             connection = self._fallback_connection(exclude=pending.tried)
         self._assign(pending, connection)
+        self._note_proof(id_, pending)
         if connection is not None:
             pending.resend_at_ms = self.engine.clock.now_ms() + RESEND_AFTER_MS * (1 << pending.resends)
             self.unsent.pop(id_, None)
@@ -178,7 +177,7 @@
                 pending,
                 peer=connection.peer_name,
                 own=connection is pending.own_connection,
-                evidence=self.callers.get(connection, CallerEvidence.NONE).name.lower(),
+                evidence=self.callers.evidence(connection).name.lower(),
             )
         else:
             self.unsent[id_] = None
@@ -196,11 +195,20 @@
     def _forget(self, id_: str) -> PendingRelease | None:
         """Removes and returns the pending release of a call, if there is one."""
         self.unsent.pop(id_, None)
+        self.unproven.pop(id_, None)
         pending = self.pending.pop(id_, None)
         if pending is not None:
             self._assign(pending, None)
+            for connection in pending.tried:
+                self._forget_tried(connection, id_)
         return pending
 
+    def _forget_tried(self, connection: InboundConnection, id_: str) -> None:
+        ids = self.tried_on.get(connection, {})
+        ids.pop(id_, None)
+        if not ids:
+            self.tried_on.pop(connection, None)
+
     def _expire(self) -> None:
         """Removes releases older than RELEASE_TTL_MS, and counts them: nobody has acknowledged them."""
         oldest_ms = self.engine.clock.now_ms() - RELEASE_TTL_MS
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -8,6 +8,7 @@
 import pytest
 
 from leadslip import interface
+from leadslip.net.callers import CallerConnections, CallerEvidence
 from leadslip.net.clients import Clients
 from leadslip.net.connections import WRITE_STALL_TIMEOUT_MS
 from leadslip.net.inbound import FIRST_MESSAGE_TIMEOUT_MS, IDLE_TIMEOUT_MS
@@ -264,3 +265,24 @@
     assert caller.transport.value().count(release) == 1
     side.establish(caller)
     assert caller.transport.value().count(release) == 1
+
+
+# Guards against answers that come late or never (picture b): finding whom to tell next looked at every caller for each
+# release, and each close at every release.
+def test_the_next_caller_for_a_release_is_found_among_those_that_it_was_not_sent_on():
+    callers = CallerConnections()
+    connections = [object() for _ in range(500)]
+    for connection in connections:
+        callers.add(connection, CallerEvidence.ESTABLISHED)
+    callers.add(connections[7], CallerEvidence.ACKNOWLEDGED)
+    looked_at = []
+
+    class Tried(set):
+        def __contains__(self, connection):
+            looked_at.append(connection)
+            return super().__contains__(connection)
+
+    assert callers.best(Tried({connections[7]})) is connections[499]
+    assert looked_at == [connections[7], connections[499]]
+    callers.remove(connections[499])
+    assert callers.best(Tried({connections[7]})) is connections[498]
