Resend few releases at once that their own callers have left unacknowledged

Cause: a release that is not acknowledged is sent on to the caller with the best evidence, which is one that acknowledges. The usual caller was sent some 7,000 releases a second of others and acknowledged them; its set-ups waited behind its own acknowledgements.

Change: of releases whose own connection is open, at most 100 are resent in one check, each 100 ms; their callers have most likely read them. A release that lost its connection is sent on at once, as before.

The new test counts 1,000 resends without the change; a second one has that releases without a connection do not wait.

--- a/leadslip/net/releases.py
+++ b/leadslip/net/releases.py
@@ -15,6 +15,9 @@
 RELEASE_TTL_MS = 8000.0  # after this time since the call's end, an unacknowledged release is dropped
 RESEND_AFTER_MS = 300.0  # until an unacknowledged release is sent on another connection; doubles each time
 RESEND_CHECK_INTERVAL_MS = 100.0  # while any release is unacknowledged
+# Of resends in one check for calls whose own connection is open. Callers need not acknowledge a release, and those that
+# do are told what others leave unacknowledged.
+MAX_PRECAUTIONARY_RESENDS = 100
 CAUSE_NORMAL, CAUSE_TEMPORARY_FAILURE = 16, 41  # ITU-T Q.850 cause values, in the Reason header of a release
 
 
@@ -147,9 +150,14 @@
             self.resend_scheduled = False
             return
         now_ms = self.engine.clock.now_ms()
+        precautionary = 0
         for id_, pending in list(self.pending.items()):
             if pending.connection is None or now_ms < pending.resend_at_ms:
                 continue
+            if pending.own_connection in self.inbound.open:
+                precautionary += 1
+                if precautionary > MAX_PRECAUTIONARY_RESENDS:
+                    continue  # its caller has most likely read it on its own connection
             other = self._next_connection(pending)
             if other is not None:
                 self.inbound.metrics.add("clients.releases_retold")
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -12,6 +12,7 @@
 from leadslip.net.clients import Clients
 from leadslip.net.connections import WRITE_STALL_TIMEOUT_MS
 from leadslip.net.inbound import FIRST_MESSAGE_TIMEOUT_MS, IDLE_TIMEOUT_MS
+from leadslip.net.releases import MAX_PRECAUTIONARY_RESENDS, RESEND_AFTER_MS, RESEND_CHECK_INTERVAL_MS
 from leadslip.readiness import Readiness
 from tests.standins import Caller, Program, SetupServer
 from tests.test_core import EngineFixture
@@ -286,3 +287,29 @@
     assert looked_at == [connections[7], connections[499]]
     callers.remove(connections[499])
     assert callers.best(Tried({connections[7]})) is connections[498]
+
+
+# Guards against one caller being flooded (picture b): it was sent all releases that others had not acknowledged.
+def test_few_releases_that_their_own_callers_left_unacknowledged_are_sent_to_another_at_once():
+    side = CallersSide()
+    silent, steady = side.connect(), side.connect()
+    known = side.establish(steady)
+    side.end(known)
+    acknowledge(steady, known)
+    attempts = [side.establish(silent) for _ in range(1000)]
+    for attempt in attempts:
+        side.end(attempt)
+    side.world.wait(RESEND_AFTER_MS + RESEND_CHECK_INTERVAL_MS)
+    told = sum(is_told(steady, attempt) for attempt in attempts)
+    assert 0 < told <= 2 * MAX_PRECAUTIONARY_RESENDS, "in the two checks since they are due"
+
+
+def test_all_releases_of_a_closed_connection_are_sent_to_another_at_once():
+    side = CallersSide()
+    leaving, steady = side.connect(), side.connect()
+    side.establish(steady)
+    attempts = [side.establish(leaving) for _ in range(1000)]
+    leaving.connectionLost()
+    for attempt in attempts:
+        side.end(attempt)
+    assert all(is_told(steady, attempt) for attempt in attempts)
