Fail a request whose id was sent to a setup server before, whatever became of the first

The call may have run twice, and the release wait of 500 ms after a cancelled attempt was not kept either.

Cause: an id counted as in use only while its request was open or its call stood.

Just before its first set-up is written a request claims its id; if that was claimed before, the request has failed (500, answers.already_sent). A request that was refused without having been sent leaves no claim.

--- a/leadslip/__main__.py
+++ b/leadslip/__main__.py
@@ -26,6 +26,7 @@
 from leadslip.operators import Answer, Endpoint, Endpoints, OperatorRequest
 from leadslip.parts.part import Part
 from leadslip.readiness import Readiness
+from leadslip.sent_ids import SentIds
 
 MIN_DRAIN_MS = 900.0  # minimum time between SIGTERM and exit, as new requests may still arrive
 # How long the proxy listens after SIGTERM: clients that no other process serves may still connect for up to 400 ms.
@@ -136,6 +137,7 @@
             conf.max_open_requests,
             self.observers["sip"],
             counters=self.counters,
+            sent_ids=SentIds(),
         )
         self.counters.add_gauge("pool_size", self.servers.listed_count)
         self.counters.add_gauge("pool_ejected", self.servers.unreachable_count)
--- a/leadslip/core.py
+++ b/leadslip/core.py
@@ -20,6 +20,7 @@
 from leadslip.logs import Log
 from leadslip.metrics import Metrics
 from leadslip.request import AnswerReason, Attempt, Request, State
+from leadslip.sent_ids import SentIds
 
 # After these outcomes the server may still be releasing the attempt's resources; the next attempt waits.
 RELEASE_WAIT_OUTCOMES = (interface.Outcome.TIMED_OUT, interface.Outcome.CUT, interface.Outcome.WITHDRAWN)
@@ -80,6 +81,7 @@
         observer: Observer | None = None,
         max_attempt_ms: float = float("inf"),
         counters: Counters | None = None,
+        sent_ids: SentIds | None = None,
     ) -> None:
         self.settings, self.clock, self.deadlines = settings, clock, deadlines
         self.controller = Controller(settings, seed)
@@ -90,6 +92,7 @@
             max_open_requests,
         )
         self.observer = observer
+        self.sent_ids = sent_ids  # None: the ids are given by this process, and none comes again
         self.counters = counters or Counters()
         self.counters.add_classes(call_class.name for call_class in settings.classes)
         self.counters.add_gauge("active", self.active_count)
@@ -305,7 +308,22 @@
         """
         request = attempt.request
         request.downstream.read_pending(request)
-        return attempt.active and request.state is State.OPEN and self.clock.now_ms() < attempt.timeout_at_ms
+        in_time = attempt.active and self.clock.now_ms() < attempt.timeout_at_ms
+        return in_time and request.state is State.OPEN and self._claim_id(request)
+
+    def _claim_id(self, request: Request) -> bool:
+        """Whether a request may be sent as far as its id goes; fails it if one with the same id may have been sent.
+
+        The caller of the first one may have left, or it may have come to the other process of an upgrade. The first one
+        may run all the same, even if it has been given up.
+        """
+        if self.sent_ids is None or request.claimed:
+            return True
+        request.claimed = self.sent_ids.claim(request.id, self.clock.now_ms())
+        if not request.claimed:
+            self._fail(request, AnswerReason.ALREADY_SENT)
+            self._dispatch(interface.CallerLeft(request.id))
+        return request.claimed
 
     def on_set_up_written(self, attempt: Attempt) -> None:
         """The upstream side has fully written an attempt's set-up; counted as `tries`."""
--- a/leadslip/request.py
+++ b/leadslip/request.py
@@ -26,6 +26,7 @@
     OVER_REQUESTS = "over_requests"  # as many requests as allowed are open
     FILTERED = "filtered"  # a filter refused it
     OVERDUE = "overdue"  # its time ran out
+    ALREADY_SENT = "already_sent"  # a request with the same id was sent to a server before
     ANSWER_LOST = "answer_lost"  # its call ended at the server before the answer arrived
 
 
@@ -58,6 +59,7 @@
         "admitted_by",
         "max_attempts",
         "answer_reason",
+        "claimed",
     )
 
     def __init__(
@@ -83,6 +85,7 @@
         # As in the settings when it was received; later changes do not apply.
         self.max_attempts = 0
         self.answer_reason = AnswerReason.NONE
+        self.claimed = False  # its id is recorded as sent
 
 
 class Attempt:
