Share the ids of sent requests between the two processes of an upgrade

Cause: each process knew the ids that it had sent itself.

Change: the table of SentIds lies in a file in $TMPDIR, named by the clients' address, which both processes map. Each writes to a lane of its own and reads both, without locks: a process that is stopped holds up no other. An id is recorded before the other lane is looked at, so that at most one of two processes sends it. The file is written in full when it is made, as a page without room would end the process later. Without $TMPDIR, with a port that the system chooses, or if the file can't be used (logged), each process knows its own ids alone.

--- a/leadslip/__main__.py
+++ b/leadslip/__main__.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import gc
+import os
 import resource
 import signal
 import sys
 import time
 from dataclasses import dataclass
+from pathlib import Path
 
 from twisted import logger
 from twisted.internet import error as net_error
@@ -26,7 +28,7 @@
 from leadslip.operators import Answer, Endpoint, Endpoints, OperatorRequest
 from leadslip.parts.part import Part
 from leadslip.readiness import Readiness
-from leadslip.sent_ids import SentIds
+from leadslip.sent_ids import SentIds, open_shared
 
 MIN_DRAIN_MS = 900.0  # minimum time between SIGTERM and exit, as new requests may still arrive
 # How long the proxy listens after SIGTERM: clients that no other process serves may still connect for up to 400 ms.
@@ -137,7 +139,7 @@
             conf.max_open_requests,
             self.observers["sip"],
             counters=self.counters,
-            sent_ids=SentIds(),
+            sent_ids=self.open_sent_ids(),
         )
         self.counters.add_gauge("pool_size", self.servers.listed_count)
         self.counters.add_gauge("pool_ejected", self.servers.unreachable_count)
@@ -159,6 +161,19 @@
             conf.connect_timeout_ms / 1000.0,
         )
 
+    def open_sent_ids(self) -> SentIds:
+        """Return the ids of sent requests: in $TMPDIR, which the processes of an upgrade share, else in memory."""
+        folder, (host, port) = os.environ.get("TMPDIR"), self.conf.listen
+        if (
+            not folder or not port
+        ):  # with a port of its own choice no other process serves this proxy's callers
+            return SentIds()
+        try:
+            return SentIds(open_shared(Path(folder) / f"leadslip-sent-{host}-{port}".replace(":", "_")))
+        except OSError as error:
+            self.log("sent_ids.not_shared", level="warning", reason=str(error))
+            return SentIds()
+
     def rebuild_filters(self) -> None:
         """Rebuild the filter chain from the configuration; open requests keep the filters that admitted them."""
         self.engine.chain.replace([filter_ for part in self.parts.values() for filter_ in part.filters()])
--- a/leadslip/sent_ids.py
+++ b/leadslip/sent_ids.py
@@ -8,6 +8,8 @@
 from __future__ import annotations
 
 import mmap
+import os
+from pathlib import Path
 
 LANES = 2  # processes that may serve one address at a time
 BUCKETS = 512  # of each lane
@@ -44,3 +46,18 @@
         self._own[oldest + LANE_WORDS // 2] = int(now_ms)
         self._own[oldest] = key
         return key not in self._other[ids].tolist()
+
+
+def open_shared(path: Path) -> mmap.mmap:
+    """Returns the table in a file, which is created if it is absent or has another size; raises OSError.
+
+    The whole file is written first: a page that could not be allocated later would end the process.
+    """
+    descriptor = os.open(path, os.O_RDWR | os.O_CREAT, 0o600)
+    try:
+        if os.fstat(descriptor).st_size != TABLE_BYTES:
+            os.ftruncate(descriptor, 0)
+            os.write(descriptor, bytes(TABLE_BYTES))
+        return mmap.mmap(descriptor, TABLE_BYTES)
+    finally:
+        os.close(descriptor)
--- a/tests/test_repeated_ids.py
+++ b/tests/test_repeated_ids.py
@@ -1,13 +1,14 @@
 """An id that was sent to a setup server is not sent again, whatever has become of the first request."""
 
+import socket
 import time
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from leadslip.sent_ids import BUCKET_IDS, BUCKETS, TABLE_BYTES, SentIds
-from tests.standins import Caller, Program, SetupServer
+from leadslip.sent_ids import BUCKET_IDS, BUCKETS, TABLE_BYTES, SentIds, open_shared
+from tests.standins import HOST, Caller, Program, SetupServer
 from tests.test_core import EngineFixture
 from tests.test_links import deterministic
 
@@ -55,6 +56,25 @@
     assert sum(map(set_ups, servers)) == 1
 
 
+# Guards against the same at an upgrade (picture c): the second process did not know what the first one had sent.
+def test_an_id_that_comes_again_at_the_other_process_of_an_upgrade_is_failed(start, tmp_path, monkeypatch):
+    (tmp_path / "tmp").mkdir()
+    monkeypatch.setenv("TMPDIR", str(tmp_path / "tmp"))
+    with socket.create_server((HOST, 0)) as free:
+        listen = "{}:{}".format(*free.getsockname())
+    server = SetupServer("hold")
+    old = start("old", {"s0": server.address}, listen=listen)
+    first = Caller(old)
+    first.invite(ID)
+    assert first.receive()[0].startswith("SIP/2.0 200 ")
+    new = start("new", {"s0": server.address}, listen=listen)
+    assert old.stop() == 0
+    again = Caller(new)
+    again.invite(ID)
+    assert again.receive()[0].startswith("SIP/2.0 500 ")
+    assert set_ups(server) == 1
+
+
 def test_an_id_that_was_refused_without_having_been_sent_may_come_again():
     world = EngineFixture()
     world.engine.sent_ids = SentIds()
@@ -78,3 +98,12 @@
             claimed.append(id_)
     newest = claimed[-BUCKET_IDS:]
     assert len(set(newest)) == len(newest), "the newest of a bucket are kept"
+
+
+def test_a_table_of_another_size_is_made_anew_and_a_third_process_takes_the_lane_of_the_first(tmp_path):
+    path = tmp_path / "ids"
+    path.write_bytes(b"another version's")
+    first, second = SentIds(open_shared(path)), SentIds(open_shared(path))
+    assert first.claim(ID, 1.0) and not second.claim(ID, 2.0)
+    third = SentIds(open_shared(path))
+    assert not third.claim(ID, 3.0) and third.claim("f" * 16, 4.0) and not second.claim("f" * 16, 5.0)
