Never shorten the shared table of sent ids, which another process may have mapped

Cause, by reading: a later version with a table of another size would have truncated the file under the running process, whose next access ends it (SIGBUS). Change: the size is part of the file's name, and an incomplete file is replaced by a complete one.

--- a/leadslip/__main__.py
+++ b/leadslip/__main__.py
@@ -169,7 +169,7 @@
         ):  # with a port of its own choice no other process serves this proxy's callers
             return SentIds()
         try:
-            return SentIds(open_shared(Path(folder) / f"leadslip-sent-{host}-{port}".replace(":", "_")))
+            return SentIds(open_shared(Path(folder), f"leadslip-sent-{host}-{port}"))
         except OSError as error:
             self.log("sent_ids.not_shared", level="warning", reason=str(error))
             return SentIds()
--- a/leadslip/sent_ids.py
+++ b/leadslip/sent_ids.py
@@ -48,16 +48,16 @@
         return key not in self._other[ids].tolist()
 
 
-def open_shared(path: Path) -> mmap.mmap:
-    """Returns the table in a file, which is created if it is absent or has another size; raises OSError.
+def open_shared(folder: Path, name: str) -> mmap.mmap:
+    """Returns the table in a file of a folder, which is created if it is absent or incomplete; raises OSError.
 
-    The whole file is written first: a page that could not be allocated later would end the process.
+    The whole file is written first: a page that could not be allocated later would end the process. A file is never
+    shortened, as another process may have mapped it; one of another layout has another name.
     """
-    descriptor = os.open(path, os.O_RDWR | os.O_CREAT, 0o600)
-    try:
-        if os.fstat(descriptor).st_size != TABLE_BYTES:
-            os.ftruncate(descriptor, 0)
-            os.write(descriptor, bytes(TABLE_BYTES))
-        return mmap.mmap(descriptor, TABLE_BYTES)
-    finally:
-        os.close(descriptor)
+    path = folder / f"{name}-{TABLE_BYTES}"
+    if not path.exists() or path.stat().st_size != TABLE_BYTES:
+        complete = path.with_name(f"{path.name}.{os.getpid()}")
+        complete.write_bytes(bytes(TABLE_BYTES))
+        complete.replace(path)
+    with path.open("r+b") as file:
+        return mmap.mmap(file.fileno(), TABLE_BYTES)
