Read datagrams of ENUM and the fleet in small portions: a flood delayed all calls

Cause: the reactor reads up to 256 KiB of datagrams in one turn, some 6,000 queries, and each was parsed and answered.

Change: 1 KiB a turn for ENUM, and 16 KiB for the fleet's datagrams, whose signatures cost less than a query. What is not read in time the system drops, as before.

The fleet's datagrams were changed by reading; no flood of them was played.

--- a/leadslip/net/enum.py
+++ b/leadslip/net/enum.py
@@ -42,6 +42,8 @@
 )
 OUTCOME_BY_RCODE = {dns.ESERVER: interface.Outcome.ERROR, dns.EREFUSED: interface.Outcome.FULL}
 SendReply = Callable[[bytes], None]
+# Of queries that are read in one turn of the reactor, so that a flood does not delay others.
+MAX_TURN_BYTES = 1024
 MAX_PORT_ATTEMPTS = 16  # to find a port that is free for both TCP and UDP, if the operating system chooses it
 
 
@@ -105,6 +107,9 @@
         self.request_count = 0  # numbers the requests and distributes them over the resolvers
         self.open_requests: dict[object, Request] = {}  # by ClientQuery.key
 
+    def startProtocol(self) -> None:
+        self.transport.maxThroughput = MAX_TURN_BYTES
+
     def datagramReceived(self, data: bytes, addr: Address) -> None:
         def send_reply(reply: bytes) -> None:
             if self.transport is not None:
--- a/leadslip/net/peers.py
+++ b/leadslip/net/peers.py
@@ -40,6 +40,8 @@
 MAX_DELIVERY_BYTES = 1 << 20  # of messages of parts in one delivery session; the last message may exceed it
 # Larger bodies of messages of parts are delivered over TCP; 60 bytes are left for the other fields of the message.
 MAX_DATAGRAM_BODY = wire.MAX_DATAGRAM_BYTES - wire.AUTH_HEADER_BYTES - 60
+# Of datagrams that are read in one turn of the reactor, so that a flood does not delay calls.
+MAX_TURN_BYTES = 16 * 1024
 RECEIVE_BUFFER_BYTES = 1 << 20  # of the UDP socket; holds datagrams while this process is busy or paused
 
 
@@ -58,6 +60,9 @@
     def __init__(self, peers: Peers) -> None:
         self.peers = peers
 
+    def startProtocol(self) -> None:
+        self.transport.maxThroughput = MAX_TURN_BYTES
+
     def datagramReceived(self, datagram: bytes, addr: tuple[str, int]) -> None:
         if len(datagram) > wire.MAX_DATAGRAM_BYTES:
             self.peers.metrics.add("fleet.refused.long")
--- a/tests/test_pressure.py
+++ b/tests/test_pressure.py
@@ -1,6 +1,7 @@
 """Memory and other callers' answers while clients send at full speed, do not read, or send half of large messages."""
 
 import contextlib
+import multiprocessing
 import socket
 import threading
 import time
@@ -8,10 +9,11 @@
 
 import pytest
 
-from tests.standins import Program, SetupServer
+from tests.standins import HOST, Caller, Program, SetupServer, query
 
 PLAY_S = 2.0
 MAX_GROWTH_MB = 8.0
+ANSWER_LIMIT_S = 0.5  # a third of the time within which calls are wanted to stand
 
 
 @pytest.fixture
@@ -61,3 +63,37 @@
     for flood in floods:
         flood.join()
     assert peak_mb(program) - before < MAX_GROWTH_MB
+
+
+def send_datagrams(address, datagrams, until):
+    """Sends datagrams again and again at full speed."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+        sender.connect(address)
+        while time.monotonic() < until:
+            for datagram in datagrams:
+                with contextlib.suppress(OSError):
+                    sender.send(datagram)
+
+
+# Guards against answers that come late or never (picture b, the ENUM front): up to 256 KiB of queries, some 6,000, were
+# worked on in one turn of the reactor.
+def test_a_flood_of_enum_queries_does_not_delay_calls(tmp_path):
+    server = SetupServer()
+    enum = f'enabled = true\nlisten = "{HOST}:0"\nresolvers = ["{HOST}:9"]\n'
+    program = Program(tmp_path, {"s0": server.address}, enum=enum)
+    queries = [query(b"%d.e164.org" % number, number) for number in range(200)]
+    flood = multiprocessing.get_context("fork").Process(
+        target=send_datagrams, args=(program.enum_address, queries, time.monotonic() + PLAY_S)
+    )
+    flood.start()
+    time.sleep(PLAY_S / 10)
+    caller, answer_s = Caller(program), []
+    while flood.is_alive() and len(answer_s) < 20:
+        sent_at = time.monotonic()
+        caller.invite(f"{len(answer_s):016x}")
+        while not caller.receive()[0].startswith("SIP/2.0 200 "):
+            pass
+        answer_s.append(time.monotonic() - sent_at)
+    flood.join()
+    assert program.stop() == 0
+    assert max(answer_s) < ANSWER_LIMIT_S
