--- a/leadslip/cli/toy.py
+++ b/leadslip/cli/toy.py
@@ -7,7 +7,7 @@
 from twisted.internet import protocol
 from twisted.protocols.basic import Int16StringReceiver, LineReceiver
 
-from leadslip.net.servers import (
+from leadslip.net.server_messages import (
     ANSWER,
     CAUSE,
     CAUSE_NORMAL,
