--- a/leadslip/core.py
+++ b/leadslip/core.py
@@ -296,6 +296,10 @@
             self._dispatch(interface.CallerLeft(request.id))
         self.on_attempt_ended(attempt, interface.Outcome.CUT)
 
+    def knows_call(self, id_: str) -> bool:
+        """Whether a request with this id is open, or its call is established."""
+        return id_ in self.open_requests or id_ in self.established_requests
+
     def active_count(self) -> int:
         """Number of requests that are open, or whose call is still established."""
         return len(self.open_requests) + len(self.established_requests)
--- a/leadslip/net/servers.py
+++ b/leadslip/net/servers.py
@@ -627,8 +627,7 @@
             expected.missed_end_ms = connection.last_received_ms
         attempt = self._remove(call)
         if attempt is None:
-            if call not in self.upstream.recently_ended and cause in (CAUSE_NORMAL, CAUSE_TEMPORARY_FAILURE):
-                self.upstream.on_unknown_end(call, cause != CAUSE_NORMAL)
+            self._unknown_call_ended(call, cause)
         elif attempt.established:
             outcome = interface.Outcome.SERVED if cause == CAUSE_NORMAL else interface.Outcome.CUT
             self.upstream.engine.on_attempt_ended(attempt, outcome, load=load)
@@ -638,6 +637,16 @@
         else:
             self.upstream.engine.on_attempt_ended(attempt, OUTCOME_OF_CAUSE[cause], note, load)
 
+    def _unknown_call_ended(self, call: bytes, cause: int) -> None:
+        """Handles the end of a call that this process does not have at this server."""
+        if cause not in (CAUSE_NORMAL, CAUSE_TEMPORARY_FAILURE):
+            return
+        if self.upstream.engine.knows_call(call.hex()):
+            # Of an earlier attempt, whose answer was lost: the call that its caller has stands at another server.
+            self.upstream.metrics.add("servers.ends_of_lost_attempts")
+        elif call not in self.upstream.recently_ended:
+            self.upstream.on_unknown_end(call, cause != CAUSE_NORMAL)
+
 
 class Servers:
     """The upstream side of the engine: all setup servers of the server list, and those that left it with calls."""
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -9,7 +9,7 @@
 from leadslip.net.clients import Clients
 from leadslip.net.connections import READ_BYTES, WRITE_STALL_TIMEOUT_MS
 from leadslip.net.inbound import OVERFLOW_TIMEOUT_MS, SLICE_BYTES
-from leadslip.net.servers import Server
+from leadslip.net.servers import RECENTLY_ENDED_MS, Server
 from leadslip.readiness import Readiness
 from tests.standins import encode_message
 from tests.test_links import ID, INVITE, Transport, connect_server, open_connection, sip
@@ -384,6 +384,29 @@
     assert b"SIP/2.0 200 OK\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: " + ID.encode() in caller.transport.value()
 
 
+# Guards against review/8: the end of an attempt whose answer was lost was told to the caller, over 30 s later, as that
+# of the call that it had at another server.
+def test_the_late_end_of_a_lost_attempt_does_not_end_the_call_at_another_server():
+    world, first = connect_server()
+    second = second_server(first)
+    told = []
+    first.server.upstream.on_unknown_end = lambda call, cut: told.append(call)
+    world.offer(ID)
+    first.connectionLost()
+    world.wait(300)  # the release wait
+    assert set_up_count(second) == 1
+    again = open_connection(first.server)
+    again.dataReceived(encode_message(12, bytes.fromhex(ID), (61, b"\x10")))
+    second.dataReceived(encode_message(9, bytes.fromhex(ID), (63, b"sdp")))
+    world.time.rightNow += RECENTLY_ENDED_MS / 1000.0 + 1.0
+    first.server.upstream.remember_ended(b"another.")  # which forgets what ended long ago
+    assert bytes.fromhex(ID) not in first.server.upstream.recently_ended
+    again.dataReceived(encode_message(12, bytes.fromhex(ID), (61, b"\x10")))
+    assert told == [] and world.recorded == [("established", ID, b"sdp")]
+    second.dataReceived(encode_message(12, bytes.fromhex(ID), (61, b"\x10")))
+    assert world.recorded[-1] == ("call_ended", ID, False)
+
+
 ANSWERED = encode_message(9, bytes.fromhex(ID), (63, b"sdp"))
 
 
