--- a/leadslip/net/clients.py
+++ b/leadslip/net/clients.py
@@ -31,6 +31,10 @@
 # use this address, it is assumed that a new process listens there too, which can accept their next connection.
 CLOSE_DESPITE_CALLS_AFTER_MS = 900.0
 MAX_EXPIRES_DEADLINES = 10.0  # Expires-Ms may be at most this many times the longest deadline of a class
+FINAL_STATUS, FIRST_FAILURE_STATUS = (
+    200,
+    300,
+)  # of SIP: lower ones are provisional; from the second on, refusals
 MAX_LINES_PER_CALL = 1000.0  # upper limit for `width`, the number of lines that a call occupies
 
 
@@ -129,7 +133,7 @@
             offset = match.end()
         method, number, status = start.groups()
         if status is not None:
-            self.response_received(headers)
+            self.response_received(int(status), headers)
             return
         handler = METHOD_HANDLERS.get(method)
         if handler is not None:
@@ -137,11 +141,16 @@
         else:
             self.reply(b"501 Not Implemented", headers)
 
-    def response_received(self, headers: dict[bytes, bytes]) -> None:
-        """Handles a response to a release sent by this proxy; any status acknowledges the release."""
-        if headers.get(b"cseq", b"").endswith(b"BYE"):
-            self.downstream.releases.acknowledged(parse_call_id(headers), self)
-            self.downstream.drain.connection_settled(self)
+    def response_received(self, status: int, headers: dict[bytes, bytes]) -> None:
+        """Handles a response to a release sent by this proxy: its peer has the call, or it does not (as with 481)."""
+        if status < FINAL_STATUS or not headers.get(b"cseq", b"").endswith(b"BYE"):
+            return
+        id_ = parse_call_id(headers)
+        if status < FIRST_FAILURE_STATUS:
+            self.downstream.releases.acknowledged(id_, self)
+        else:
+            self.downstream.releases.rejected(id_, self)
+        self.downstream.drain.connection_settled(self)
 
     def invite(self, number: bytes, headers: dict[bytes, bytes], body: memoryview) -> None:
         """Handles a set-up: parses it into a new request, which is offered to the engine at the end of the read."""
@@ -200,8 +209,8 @@
     def bye(self, number: bytes, headers: dict[bytes, bytes], body: memoryview) -> None:
         """Handles the release of a call by its caller: answers 200, or 481 if no proxy knows the call."""
         request = self.downstream.engine.established_requests.get(parse_call_id(headers))
-        # The caller's release may cross the proxy's own, which is retained until it is acknowledged.
-        known = request is not None or self.downstream.releases.is_pending(parse_call_id(headers))
+        # The caller's release may cross the proxy's own, which then need not be acknowledged any more.
+        known = request is not None or self.downstream.releases.released_by_caller(parse_call_id(headers))
         if not known and self.downstream.release_replicated_call is not None:
             # Encoded now, so that the parsed headers need not be kept until the result arrives.
             echoed = echo_headers(headers)
--- a/leadslip/net/releases.py
+++ b/leadslip/net/releases.py
@@ -24,7 +24,16 @@
 class PendingRelease:
     """The release of an ended call until a caller has acknowledged it."""
 
-    __slots__ = ("ended_ms", "message", "own_connection", "connection", "tried", "resend_at_ms", "resends")
+    __slots__ = (
+        "ended_ms",
+        "message",
+        "own_connection",
+        "connection",
+        "tried",
+        "rejected",
+        "resend_at_ms",
+        "resends",
+    )
 
     def __init__(self, ended_ms: float, message: bytes, own_connection: InboundConnection | None) -> None:
         self.ended_ms, self.message = ended_ms, message
@@ -33,6 +42,7 @@
         self.tried: set[InboundConnection] = (
             set()
         )  # open connections that it was sent on, or that were not read
+        self.rejected: set[InboundConnection] = set()  # those of them whose peers do not have the call
         self.resends = 0  # on other connections, as it was not acknowledged in time
         self.resend_at_ms = ended_ms + RESEND_AFTER_MS
 
@@ -54,6 +64,10 @@
         """Returns whether a call has ended and no caller has acknowledged its release yet."""
         return id_ in self.pending
 
+    def released_by_caller(self, id_: str) -> bool:
+        """Drops the release of a call that its caller has released itself; returns whether there was one."""
+        return self._forget(id_) is not None
+
     def connection_opened(self, connection: InboundConnection) -> None:
         """Sends the releases that wait for a connection."""
         self._expire()
@@ -67,6 +81,7 @@
         for id_ in self.tried_on.pop(connection, {}):
             pending = self.pending[id_]
             pending.tried.discard(connection)
+            pending.rejected.discard(connection)
             if pending.connection is connection:
                 self._send(id_, self._next_connection(pending))
             else:
@@ -84,14 +99,15 @@
         if was_proven or not self.callers.is_proven(connection):
             return
         for id_ in list(self.unproven):
-            if connection in self.pending[id_].tried:
-                del self.unproven[id_]
+            pending = self.pending[id_]
+            if connection in pending.tried:
+                self._note_proof(id_, pending)
             else:
                 self._send(id_, connection)
 
     def _note_proof(self, id_: str, pending: PendingRelease) -> None:
-        """Records whether a release has been sent to a proven caller."""
-        if any(map(self.callers.is_proven, pending.tried)):
+        """Records whether a release has been sent to a proven caller that may have the call."""
+        if any(map(self.callers.is_proven, pending.tried - pending.rejected)):
             self.unproven.pop(id_, None)
         else:
             self.unproven[id_] = None
@@ -125,6 +141,19 @@
         self._log("release.acknowledged", id_, pending, peer=connection.peer_name)
         self._forget(id_)
 
+    def rejected(self, id_: str, connection: InboundConnection) -> None:
+        """Sends a release on, as the peer of a connection does not have the call.
+
+        Each connection is asked once; then the release waits for another connection, until it expires.
+        """
+        pending = self.pending.get(id_)
+        if pending is None or connection not in pending.tried:
+            return
+        pending.rejected.add(connection)
+        self._log("release.rejected", id_, pending, peer=connection.peer_name)
+        if pending.connection is connection:
+            self._send(id_, self._fallback_connection(exclude=pending.tried))
+
     def _fallback_connection(self, exclude: Collection[InboundConnection] = ()) -> InboundConnection | None:
         """Returns a connection for a release that can't be sent, or got no answer, on the call's own connection.
 
@@ -141,7 +170,7 @@
     def _next_connection(self, pending: PendingRelease) -> InboundConnection | None:
         """Returns the connection to send a release on next: one that it was not sent on yet, if there is any."""
         untried = self._fallback_connection(exclude=pending.tried)
-        return untried or self._fallback_connection(exclude=[pending.connection])
+        return untried or self._fallback_connection(exclude={pending.connection} | pending.rejected)
 
     def _resend(self, _: object = None) -> None:
         """Sends each release that was not acknowledged in time on another connection, and schedules the next check."""
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -16,7 +16,7 @@
 from leadslip.readiness import Readiness
 from tests.standins import Caller, Program, SetupServer
 from tests.test_core import EngineFixture
-from tests.test_links import INVITE, Transport
+from tests.test_links import INVITE, Transport, sip
 
 MAX_CONNECTIONS, OVERFLOW = 10, 2
 RELEASE_LIMIT_MS = 1000.0  # the protocol's limit for telling a caller of a call's end
@@ -313,3 +313,68 @@
     for attempt in attempts:
         side.end(attempt)
     assert all(is_told(steady, attempt) for attempt in attempts)
+
+
+def reject(connection, attempt, status=b"481 Call/Transaction Does Not Exist"):
+    """The peer of a connection answers the release of a call that it does not have."""
+    id_ = attempt.request.id.encode()
+    connection.dataReceived(
+        b"SIP/2.0 %s\r\nCall-ID: %s\r\nCSeq: 2 BYE\r\nContent-Length: 0\r\n\r\n" % (status, id_)
+    )
+
+
+# Guards against review/6: after a restart the ends of calls were told to a connection that only checks readiness, whose
+# 481 counted as an acknowledgement.
+def test_a_release_that_its_receiver_rejects_is_sent_to_the_next_connection_opened():
+    side = CallersSide()
+    front, early = side.connect(), side.connect()
+    attempt = side.establish(early)
+    early.connectionLost()
+    side.end(attempt)
+    assert is_told(front, attempt)
+    reject(front, attempt)
+    assert side.clients.releases.is_pending(attempt.request.id)
+    side.world.wait(2000)
+    assert front.transport.value().count(b"BYE sip:") == 1, "who rejects it is not asked again"
+    caller = side.connect()
+    assert is_told(caller, attempt)
+    acknowledge(caller, attempt)
+    assert not side.clients.releases.is_pending(attempt.request.id)
+
+
+# Guards against review/6 beside other callers: each is asked at once when the one before has rejected it.
+def test_a_rejected_release_is_sent_on_at_once_and_a_caller_that_proves_itself_later_is_told():
+    side = CallersSide()
+    others = [side.connect() for _ in range(2)]
+    for other in others:
+        side.establish(other)
+    leaving = side.connect()
+    attempt = side.establish(leaving)
+    leaving.connectionLost()
+    side.end(attempt)
+    for other in reversed(others):
+        assert is_told(other, attempt)
+        reject(other, attempt)
+    newcomer = side.connect()
+    assert is_told(newcomer, attempt), "it waits for a connection that has not been asked"
+
+
+def test_a_provisional_response_to_a_release_neither_acknowledges_nor_rejects_it():
+    side = CallersSide()
+    caller = side.connect()
+    attempt = side.establish(caller)
+    side.end(attempt)
+    reject(caller, attempt, b"100 Trying")
+    assert side.clients.releases.is_pending(attempt.request.id)
+    acknowledge(caller, attempt)
+    assert not side.clients.releases.is_pending(attempt.request.id)
+
+
+def test_a_release_by_the_caller_itself_ends_the_resending_of_the_proxys_own():
+    side = CallersSide()
+    caller = side.connect()
+    attempt = side.establish(caller)
+    side.end(attempt)
+    caller.dataReceived(sip(b"BYE", attempt.request.id))
+    assert b"SIP/2.0 200 OK" in caller.transport.value()
+    assert not side.clients.releases.is_pending(attempt.request.id)
