--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -279,3 +279,18 @@
         and not world.engine.established_requests
         and list(world.upstream.servers) == ["s1"]
     )
+
+
+# Shows the operators' picture (d): the process at the address is taken for the one that has exited until the list
+# tells.
+def test_calls_end_within_8_s_if_another_process_takes_the_address_while_the_list_is_silent():
+    world = ConnectedWorld(1, hold_ms=1e6, repeats_ends=False)
+    for _ in range(12):
+        world.call()
+        world.wait(15)
+    world.wait(200)
+    world.server.established.clear()
+    for connection in list(world.server.connections):
+        connection.end(error.ConnectionLost())
+    world.wait(8050)
+    assert len(world.ended_at_ms) == 12, "calls of a process that has exited are left standing"
