--- a/leadslip/revision.py
+++ b/leadslip/revision.py
@@ -5,20 +5,28 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Iterable, Mapping
 
+# Keys that a file may lack whatever the running one has, as the platform's pages call them optional; `*` stands for the
+# place in a list. What a file lacks has its default.
+OPTIONAL_KEYS = frozenset({"settings.services.*.aim_stretch", "settings.costs.fleet"})
+LIST_INDEX = re.compile(r"(?<=\.)\d+(?=\.)")
+
 
 def find_missing(running: object, revision: object, path: str = "") -> str | None:
     """Returns the path of the first key that a running document has and its revision lacks, or None.
 
-    Lists of objects may change their length. An object of such a list must have every key of the running object with
-    its name; one with a new name must have the keys that all running objects of the list have.
+    A key of OPTIONAL_KEYS may be absent. Lists of objects may change their length. An object of such a list must have
+    every key of the running object with its name; one with a new name must have the keys that all running objects of
+    the list have.
     """
     if isinstance(running, Mapping):
+        children = ((f"{path}.{key}" if path else key, key, value) for key, value in sorted(running.items()))
         return _first(
-            find_missing(value, _child(revision, key), f"{path}.{key}" if path else key)
-            for key, value in sorted(running.items())
-            if value is not None
+            find_missing(value, _child(revision, key), child_path)
+            for child_path, key, value in children
+            if value is not None and not _is_optional(child_path)
         )
     if revision is None:
         return path
@@ -32,6 +40,10 @@
     return None
 
 
+def _is_optional(path: str) -> bool:
+    return LIST_INDEX.sub("*", path) in OPTIONAL_KEYS
+
+
 def _first(paths: Iterable[str | None]) -> str | None:
     return next((path for path in paths if path is not None), None)
 
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -128,6 +128,30 @@
         reload(tmp_path, json.dumps(changed(services=services, extra=extra)), running)
 
 
+# Guards against review/7: a valid file was refused for want of a key that pages let be absent, and the moved notice
+# board was lost with it.
+@pytest.mark.parametrize("new_class", [True, False])
+def test_a_file_may_lack_the_keys_that_are_optional(tmp_path, running, new_class):
+    complete = changed(costs={"fleet": 0.01, "waste": 0.02})
+    for service in complete["settings"]["services"]:
+        service["aim_stretch"] = 2.0
+    running = reload(tmp_path, json.dumps(complete), running)
+    without_optional = copy.deepcopy(complete)
+    without_optional["board"] = "127.0.0.1:4223"
+    del without_optional["settings"]["costs"]["fleet"]
+    services = without_optional["settings"]["services"]
+    if new_class:
+        services.append(services[0] | {"name": "fresh"})
+        del services[2]["aim_stretch"]
+        without_optional["settings"]["extra"]["allowed_pools"].append([0])
+    else:
+        del services[1]["aim_stretch"]
+    assert reload(tmp_path, json.dumps(without_optional), running).board == ("127.0.0.1", 4223)
+    del without_optional["settings"]["costs"]["waste"]
+    with pytest.raises(config.MissingError, match="settings.costs.waste"):
+        reload(tmp_path, json.dumps(without_optional), running)
+
+
 def test_a_class_must_keep_the_keys_that_other_classes_do_not_have(tmp_path, running):
     """Guards against the default of a key, such as calls that may be repeated, for a class that had another value."""
     services = copy.deepcopy(CONFIGURATION["settings"]["services"])
