Test of ENUM look-ups whose client has closed with much still unread

Change: a look-up over TCP is cancelled although 5,000 queries lie unread before the end. Measured: fails if the unread queries are parsed in place of TCP_INFO, passes with the mend.

--- a/tests/test_enum.py
+++ b/tests/test_enum.py
@@ -271,3 +271,21 @@
 )
 def test_the_number_that_a_domain_name_encodes(name, number):
     assert enum.number_of(name, "e164.arpa") == number
+
+
+# Guards against look-ups for clients that have gone (picture c): much that is unread must not hide the close.
+def test_a_look_up_is_cancelled_if_its_client_has_closed_with_much_still_unread():
+    world, cancelled = SilentUpstream(), []
+    world.send, world.cancel = lambda attempt: None, cancelled.append
+    entry = interface.ListEntry(world.resolver.name, 0, interface.ServerState.READY)
+    world.downstream.engine.update_servers(
+        interface.ServerListUpdate(interface.UpdateKind.SNAPSHOT, (entry,))
+    )
+    connection = enum.EnumConnections(world.downstream, 10).buildProtocol(None)
+    connection.makeConnection(Transport())
+    other = query(b"not-served.example")
+    connection.dataReceived(struct.pack("!H", len(query(NAME))) + query(NAME))
+    (request,) = world.downstream.engine.open_requests.values()
+    connection.transport.unread += [(struct.pack("!H", len(other)) + other) * 5000, None]
+    world.downstream.read_pending(request)
+    assert not world.downstream.engine.open_requests and len(cancelled) == 1
