--- a/leadslip/net/inbound.py
+++ b/leadslip/net/inbound.py
@@ -38,9 +38,7 @@
         self.opened_ms = self.now_ms()
         peer = self.transport.getPeer()
         self.peer_name = f"{peer.host}:{peer.port}"
-        self.transport.bufferSize = (
-            SLICE_BYTES  # of each read; more than this is left in the socket or read ahead
-        )
+        self.transport.bufferSize = SLICE_BYTES  # of each read
         self.overflow = len(self.inbound.open) >= self.inbound.max_connections
         self.inbound.open[self] = self.inbound.no_message_yet[self] = None
         super().connectionMade()
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -258,17 +258,22 @@
     assert not world.engine.established_requests and world.server.connect_count <= 14
 
 
-def test_calls_of_a_server_process_end_when_another_process_takes_over_its_address():
-    """Guards against taking a connection to the new process for one to the process that has exited."""
+def world_with_replaced_process():
+    """Returns a world whose server process has exited with 12 calls, and another listens at its address, unlisted."""
     world = ConnectedWorld(1, hold_ms=1e6, repeats_ends=False)
     for _ in range(12):
         world.call()
         world.wait(15)
     world.wait(200)
-    # The process exits, and another listens at its address before the server list reports it.
     world.server.established.clear()
     for connection in list(world.server.connections):
         connection.end(error.ConnectionLost())
+    return world
+
+
+def test_calls_of_a_server_process_end_when_another_process_takes_over_its_address():
+    """Guards against taking a connection to the new process for one to the process that has exited."""
+    world = world_with_replaced_process()
     world.wait(2000)
     assert len(world.engine.established_requests) == 12 and world.upstream.servers["s0"].active
     update = interface.ServerListUpdate(interface.UpdateKind.CHANGES, (entry("s1", 0),))
@@ -284,13 +289,6 @@
 # Shows the operators' picture (d): the process at the address is taken for the one that has exited until the list
 # tells.
 def test_calls_end_within_8_s_if_another_process_takes_the_address_while_the_list_is_silent():
-    world = ConnectedWorld(1, hold_ms=1e6, repeats_ends=False)
-    for _ in range(12):
-        world.call()
-        world.wait(15)
-    world.wait(200)
-    world.server.established.clear()
-    for connection in list(world.server.connections):
-        connection.end(error.ConnectionLost())
+    world = world_with_replaced_process()
     world.wait(8050)
     assert len(world.ended_at_ms) == 12, "calls of a process that has exited are left standing"
