Do not ask each caller in turn for a release that was told on its own connection

Cause, found on rereading: Releases.rejected did not ask whether the call's own connection is open, as the resends do.

Change: in that case a rejection does not send the release on; the next resend is due as without an answer. One rule, _is_told_on_own_connection, serves both places.

--- a/leadslip/net/releases.py
+++ b/leadslip/net/releases.py
@@ -144,14 +144,16 @@
     def rejected(self, id_: str, connection: InboundConnection) -> None:
         """Sends a release on, as the peer of a connection does not have the call.
 
-        Each connection is asked once; then the release waits for another connection, until it expires.
+        Each connection is asked once; then the release waits for another connection, until it expires. If the call's
+        own connection is open and has not rejected it, its caller has most likely read it: the next resend is then due
+        no sooner than without an answer.
         """
         pending = self.pending.get(id_)
         if pending is None or connection not in pending.tried:
             return
         pending.rejected.add(connection)
         self._log("release.rejected", id_, pending, peer=connection.peer_name)
-        if pending.connection is connection:
+        if pending.connection is connection and not self._is_told_on_own_connection(pending):
             self._send(id_, self._fallback_connection(exclude=pending.tried))
 
     def _fallback_connection(self, exclude: Collection[InboundConnection] = ()) -> InboundConnection | None:
@@ -167,6 +169,11 @@
         others = (connection for connection in reversed(self.inbound.open) if connection not in exclude)
         return next(others, None)
 
+    def _is_told_on_own_connection(self, pending: PendingRelease) -> bool:
+        """Returns whether the call's own connection is open and has not rejected the release that was sent there."""
+        own = pending.own_connection
+        return own in self.inbound.open and own not in pending.rejected
+
     def _next_connection(self, pending: PendingRelease) -> InboundConnection | None:
         """Returns the connection to send a release on next: one that it was not sent on yet, if there is any."""
         untried = self._fallback_connection(exclude=pending.tried)
@@ -183,10 +190,10 @@
         for id_, pending in list(self.pending.items()):
             if pending.connection is None or now_ms < pending.resend_at_ms:
                 continue
-            if pending.own_connection in self.inbound.open:
+            if self._is_told_on_own_connection(pending):
                 precautionary += 1
                 if precautionary > MAX_PRECAUTIONARY_RESENDS:
-                    continue  # its caller has most likely read it on its own connection
+                    continue
             other = self._next_connection(pending)
             if other is not None:
                 self.inbound.metrics.add("clients.releases_retold")
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -77,14 +77,24 @@
     ) in (connection.transport.value())
 
 
-def acknowledge(connection, attempt):
-    """The peer of a connection answers the release of a call."""
+def respond(connection, attempt, status):
+    """The peer of a connection responds to the release of a call."""
     id_ = attempt.request.id.encode()
     connection.dataReceived(
-        b"SIP/2.0 200 OK\r\nCall-ID: %s\r\nCSeq: 2 BYE\r\nContent-Length: 0\r\n\r\n" % id_
+        b"SIP/2.0 %s\r\nCall-ID: %s\r\nCSeq: 2 BYE\r\nContent-Length: 0\r\n\r\n" % (status, id_)
     )
 
 
+def acknowledge(connection, attempt):
+    """The peer of a connection has the call, and acknowledges its release."""
+    respond(connection, attempt, b"200 OK")
+
+
+def reject(connection, attempt):
+    """The peer of a connection does not have the call."""
+    respond(connection, attempt, b"481 Call/Transaction Does Not Exist")
+
+
 def test_at_the_limit_the_connection_of_an_established_call_is_not_closed():
     """Guards against closing it as the one idle longest: its caller has nothing to send while the call goes on."""
     side = CallersSide()
@@ -315,14 +325,6 @@
     assert all(is_told(steady, attempt) for attempt in attempts)
 
 
-def reject(connection, attempt, status=b"481 Call/Transaction Does Not Exist"):
-    """The peer of a connection answers the release of a call that it does not have."""
-    id_ = attempt.request.id.encode()
-    connection.dataReceived(
-        b"SIP/2.0 %s\r\nCall-ID: %s\r\nCSeq: 2 BYE\r\nContent-Length: 0\r\n\r\n" % (status, id_)
-    )
-
-
 # Guards against review/6: after a restart the ends of calls were told to a connection that only checks readiness, whose
 # 481 counted as an acknowledgement.
 def test_a_release_that_its_receiver_rejects_is_sent_to_the_next_connection_opened():
@@ -342,6 +344,25 @@
     assert not side.clients.releases.is_pending(attempt.request.id)
 
 
+# Guards against each of many callers being asked in turn, call by call, where acknowledging is left out as it is free.
+def test_a_release_told_on_its_own_connection_is_not_sent_on_at_once_when_another_rejects_it():
+    side = CallersSide()
+    others = [side.connect() for _ in range(6)]
+    for other in others:
+        side.establish(other)
+    own = side.connect()
+    attempt = side.establish(own)
+    side.end(attempt)
+    asked = []
+    for _ in range(79):
+        side.world.wait(RESEND_CHECK_INTERVAL_MS)
+        for other in others:
+            if other not in asked and is_told(other, attempt):
+                asked.append(other)
+                reject(other, attempt)
+    assert len(asked) <= 4, "after 300, 600, 1,200 and 2,400 ms, as without an answer"
+
+
 # Guards against review/6 beside other callers: each is asked at once when the one before has rejected it.
 def test_a_rejected_release_is_sent_on_at_once_and_a_caller_that_proves_itself_later_is_told():
     side = CallersSide()
@@ -364,7 +385,7 @@
     caller = side.connect()
     attempt = side.establish(caller)
     side.end(attempt)
-    reject(caller, attempt, b"100 Trying")
+    respond(caller, attempt, b"100 Trying")
     assert side.clients.releases.is_pending(attempt.request.id)
     acknowledge(caller, attempt)
     assert not side.clients.releases.is_pending(attempt.request.id)
